Virtual-clock bench: two workloads, nine scenarios, two baselines

The bench drives the real Scheduler and CreditLedger; engines batch continuously in virtual time, and gossip between routers is late by a set time.

--- /dev/null
+++ b/shallotpoint/bench/baselines.py
@@ -0,0 +1,98 @@
+"""Plain policies to compare with; they send at once and queue upstream."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Mapping
+
+from shallotpoint.policy.actions import Action, Admission, Admitted, Send
+from shallotpoint.policy.scheduler import Scheduler, Slots
+from shallotpoint.policy.ticket import Course, Leg, Ticket
+from shallotpoint.results import Result
+from shallotpoint.types import Seconds
+
+
+class PlainScheduler(Scheduler):
+    """Sends each request at once.
+
+    Parameters
+    ----------
+    least_connections : bool
+        Choose the upstream with the fewest own requests, else take turns.
+    """
+
+    def __init__(self, *, least_connections: bool):
+        super().__init__()
+        self._least = least_connections
+        self._turns = itertools.count()
+        self._sends: list[Action] = []
+        self._connections: Counter[str] = Counter()
+
+    def offer(self, ticket: Ticket, now: Seconds) -> Admission:
+        """Queue the request to be sent by the next poll."""
+        course = Course(ticket, queued_s=now)
+        self.courses[ticket.id] = course
+        self._send_plain(course, now)
+        return Admitted(0.0)
+
+    def poll(self, now: Seconds) -> list[Action]:
+        """Return what is to be sent."""
+        sends, self._sends = self._sends, []
+        return sends
+
+    def progress(self, ticket_id, upstream, tokens, now) -> list[Action]:
+        """Count tokens."""
+        course = self.courses.get(ticket_id)
+        if course is not None:
+            course.tokens += tokens
+        return []
+
+    def finished(self, ticket_id, upstream, now) -> list[Action]:
+        """Forget the request."""
+        self.courses.pop(ticket_id, None)
+        self._connections[upstream] -= 1
+        return []
+
+    def failed(self, ticket_id, upstream, reason, now, *, may_retry=True):
+        """Send it again elsewhere, at most three times."""
+        course = self.courses[ticket_id]
+        self._connections[upstream] -= 1
+        course.moves += 1
+        if course.moves > 3 or course.tokens:
+            del self.courses[ticket_id]
+            return Result.UPSTREAM_BROKE
+        self._send_plain(course, now)
+        return None
+
+    def abandon(self, ticket_id: str, now: Seconds) -> None:
+        """Forget the request."""
+        self.courses.pop(ticket_id, None)
+
+    def set_credits(self, upstream: str, credits: int) -> None:
+        """Ignore credits."""
+
+    def set_upstreams(self, slots: Mapping[str, Slots]) -> None:
+        """Take over the upstreams."""
+        self.upstreams = dict(slots)
+
+    def slots_wanted(self, now: Seconds) -> float:
+        """Want nothing, as nothing is shared."""
+        return 0.0
+
+    def _send_plain(self, course: Course, now: Seconds) -> None:
+        names = sorted(self.upstreams)
+        if self._least:
+            turn = next(self._turns)
+            upstream = min(
+                names,
+                key=lambda n: (
+                    self._connections[n],
+                    (names.index(n) + turn) % 7,
+                ),
+            )
+        else:
+            upstream = names[next(self._turns) % len(names)]
+        self._connections[upstream] += 1
+        course.legs = [Leg(upstream, sent_s=now)]
+        self._sends.append(Send(course.ticket, upstream))
--- a/shallotpoint/bench/cli.py
+++ b/shallotpoint/bench/cli.py
@@ -24,12 +24,15 @@
     parser.add_argument("--workload", default="nordvik")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--policy", default="current")
+    parser.add_argument("--final", action="store_true", help="use the kept seeds")
     parser.add_argument("--plot", metavar="FILE.png")
     parser.set_defaults(run=run)
 
 
 def run(args: argparse.Namespace) -> int:
     """Run one measurement or all of them."""
+    from shallotpoint.bench import policy_bench, targets  # noqa: F401
+
     for name, bench in BENCHES.items():
         if args.name in (name, "all"):
             bench(args)
--- /dev/null
+++ b/shallotpoint/bench/policy_bench.py
@@ -0,0 +1,146 @@
+"""``bench policy``: workloads under policies and faults, on a virtual clock."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+from collections.abc import Callable, Mapping
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+
+from shallotpoint.bench.cli import register
+from shallotpoint.bench.report import figures
+from shallotpoint.bench.workloads import WORKLOADS, Workload
+from shallotpoint.bench.world import Faults, Policy, World
+from shallotpoint.policy.scheduler import Tuning
+
+CURRENT = "current"
+POLICIES: Mapping[str, Policy] = {
+    p.name: p
+    for p in (
+        Policy(CURRENT, Tuning()),
+        Policy("fifo-round-robin", by_priority=False),
+        Policy("priority-least-connections", least_connections=True),
+    )
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A variation of a workload."""
+
+    name: str
+    faults: Faults = Faults()
+    change: Callable[[Workload], Workload] = lambda workload: workload
+    burst: tuple[str, float] | None = None
+
+
+def _without_long(workload: Workload) -> Workload:
+    short = [k.service_class.name for k in workload.kinds if k.service_class.tier == 1]
+    names = [n for n in workload.classes if n not in short]
+    return workload.without(*names)
+
+
+SCENARIOS: Mapping[str, Scenario] = {
+    s.name: s
+    for s in (
+        Scenario("base"),
+        Scenario("no-long", change=_without_long),
+        Scenario("slow", Faults(slow=(20.0, 70.0, 10.0))),
+        Scenario("refusing", Faults(refusing=(30.0, 60.0))),
+        Scenario("crash", Faults(crash_s=45.0)),
+        Scenario("routers-lost", Faults(routers_lost_s=45.0)),
+        Scenario("burst", burst=("big-0", 3.0)),
+        Scenario("gossip-1s", Faults(gossip_s=1.0)),
+        Scenario("gossip-10s", Faults(gossip_s=10.0)),
+    )
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One run to make."""
+
+    workload: str
+    policy: str
+    scenario: str
+    seed: int
+
+
+def run_case(case: Case) -> dict[str, float]:
+    """Make one run; return its figures."""
+    scenario = SCENARIOS[case.scenario]
+    workload = scenario.change(WORKLOADS[case.workload])
+    world = World(
+        workload,
+        POLICIES[case.policy],
+        case.seed,
+        faults=scenario.faults,
+        burst=scenario.burst,
+    )
+    return figures(world.run())
+
+
+def run_cases(cases: list[Case], *, processes: int = 5) -> list[dict[str, float]]:
+    """Make runs side by side."""
+    with ProcessPoolExecutor(processes) as pool:
+        return list(pool.map(run_case, cases))
+
+
+def print_line(metric: str, value: float, *, unit: str = "", **fields) -> None:
+    """Print one JSON line of the contract."""
+    line = {
+        "bench": "policy",
+        "metric": metric,
+        "value": value,
+        "unit": unit,
+        "seed": None,
+        "baseline": None,
+        "baseline_value": None,
+        **fields,
+    }
+    print(json.dumps(line), flush=True)
+
+
+@register("policy")
+def bench_policy(args: argparse.Namespace) -> int:
+    """Print the figures of one workload, seed and policy."""
+    if args.plot:
+        from shallotpoint.bench.plot import plot_run
+
+        workload = WORKLOADS[args.workload]
+        plot_run(World(workload, POLICIES[args.policy], args.seed).run(), args.plot)
+    names = [args.policy] + [n for n in POLICIES if n != args.policy]
+    cases = [Case(args.workload, name, "base", args.seed) for name in names]
+    results = dict(zip(names, run_cases(cases), strict=True))
+    own = results.pop(args.policy)
+    for metric, value in sorted(own.items()):
+        for baseline, theirs in results.items():
+            print_line(
+                f"{args.workload}.{metric}",
+                value,
+                seed=args.seed,
+                baseline=baseline,
+                baseline_value=theirs.get(metric),
+            )
+    return 0
+
+
+def summarise(
+    workload: str, policy: str, scenario: str, seeds: range
+) -> dict[str, tuple[float, float, float]]:
+    """Return median, least and greatest of each figure over seeds."""
+    cases = [Case(workload, policy, scenario, seed) for seed in seeds]
+    runs = run_cases(cases)
+    names = sorted({name for run in runs for name in run})
+    found = {}
+    for name in names:
+        values = [run[name] for run in runs if name in run]
+        found[name] = (statistics.median(values), min(values), max(values))
+    return found
+
+
+def with_tuning(name: str, **changes) -> Policy:
+    """Return this project's policy with some switches changed."""
+    return Policy(name, replace(Tuning(), **changes))
--- a/shallotpoint/coordination/credits.py
+++ b/shallotpoint/coordination/credits.py
@@ -79,6 +79,16 @@
     row: CreditRow
 
 
+@dataclass(frozen=True, slots=True)
+class _Peer:
+    """What a peer's last row says to this member."""
+
+    incarnation: int
+    use: Mapping[str, Use]
+    granted: Mapping[str, int]
+    taken: Mapping[str, Taken]
+
+
 @dataclass(slots=True)
 class _Unit:
     """One owned unit and when it may be used."""
@@ -133,7 +143,8 @@
         self._settle_s = settle_s
         self._upstreams: dict[str, _Upstream] = {}
         self._members: tuple[str, ...] = ()
-        self._peers: dict[str, PeerCredits] = {}
+        self._own_address = f"{name}#{incarnation}"
+        self._peers: dict[str, _Peer] = {}
         self._granted: dict[str, dict[str, int]] = {}
         self._returned: dict[str, dict[str, int]] = {}
 
@@ -161,7 +172,13 @@
             self._drop_peer(peer)
         elif known is not None and credits.incarnation < known.incarnation:
             return
-        self._peers[peer] = credits
+        row = credits.row
+        self._peers[peer] = _Peer(
+            credits.incarnation,
+            row.use,
+            row.granted.get(self._own_address, {}),
+            row.taken.get(self._own_address, {}),
+        )
 
     def set_use(self, upstream: str, *, wanted: int, running: int) -> None:
         """Note the units in use, and those that could be used now."""
@@ -176,10 +193,17 @@
         if state is None:
             return 0
         owned = sum(1 for unit in state.owned.values() if unit.from_s <= now)
-        state.frozen = [f for f in state.frozen if f.until_s > now]
+        if state.frozen:
+            state.frozen = [f for f in state.frozen if f.until_s > now]
         away = sum(f.count for f in state.frozen)
-        for peer in self._peers:
-            away += self._lent(peer, upstream) - self._borrowed(peer, upstream)
+        for name, peer in self._peers.items():
+            lent = self._granted.get(name, {}).get(upstream, 0)
+            if lent:
+                taken = peer.taken.get(upstream)
+                away += lent - taken.returned if taken else lent
+            borrowed = peer.granted.get(upstream, 0)
+            if borrowed:
+                away -= borrowed - self._returned.get(name, {}).get(upstream, 0)
         return owned - away
 
     def rebalance(self, *, now: Seconds) -> bool:
@@ -202,7 +226,7 @@
 
     def running_elsewhere(self, upstream: str) -> int:
         """Return the calls of all peers on an upstream, by their last rows."""
-        uses = (p.row.use.get(upstream) for p in self._peers.values())
+        uses = (p.use.get(upstream) for p in self._peers.values())
         return sum(use.running for use in uses if use)
 
     # Ownership
@@ -223,25 +247,19 @@
     def _address(self, peer: str) -> str:
         return f"{peer}#{self._peers[peer].incarnation}"
 
-    @property
-    def _own_address(self) -> str:
-        return f"{self.name}#{self.incarnation}"
-
     def _lent(self, peer: str, upstream: str) -> int:
         granted = self._granted.get(peer, {}).get(upstream, 0)
         return granted - self._taken_by(peer, upstream).returned if granted else 0
 
     def _taken_by(self, peer: str, upstream: str) -> Taken:
-        row = self._peers[peer].row
-        return row.taken.get(self._own_address, {}).get(upstream) or Taken()
+        return self._peers[peer].taken.get(upstream) or Taken()
 
     def _borrowed(self, peer: str, upstream: str) -> int:
-        row = self._peers[peer].row
-        granted = row.granted.get(self._own_address, {}).get(upstream, 0)
+        granted = self._peers[peer].granted.get(upstream, 0)
         return granted - self._returned.get(peer, {}).get(upstream, 0)
 
     def _taken_from(self, peer: str) -> dict[str, Taken]:
-        granted = self._peers[peer].row.granted.get(self._own_address, {})
+        granted = self._peers[peer].granted
         returned = self._returned.get(peer, {})
         return {u: Taken(seen, returned.get(u, 0)) for u, seen in granted.items()}
 
@@ -258,7 +276,7 @@
         self._returned.pop(peer, None)
 
     def _peer_use(self, peer: str, upstream: str) -> Use:
-        return self._peers[peer].row.use.get(upstream, Use())
+        return self._peers[peer].use.get(upstream, Use())
 
     def _give_back(self, name: str, state: _Upstream, now: Seconds) -> bool:
         """Return borrowed units that are idle, at once if the owner lacks some."""
--- a/shallotpoint/policy/health.py
+++ b/shallotpoint/policy/health.py
@@ -25,6 +25,7 @@
 LONGEST_DOWN_S = 8.0
 RAMP_S = 5.0  # time in which a restored upstream regains its full weight
 MAX_EJECTED_PART = 0.4
+JUDGE_EVERY_S = 0.02
 _GAIN = 0.3
 
 
@@ -80,6 +81,7 @@
     def __init__(self, *, max_ejected_part: float = MAX_EJECTED_PART):
         self._book: dict[str, UpstreamHealth] = {}
         self._max_ejected_part = max_ejected_part
+        self._judged_s: Seconds = -1.0
 
     def __getitem__(self, upstream: str) -> UpstreamHealth:
         return self._book[upstream]
@@ -155,9 +157,13 @@
 
     def judge(self, now: Seconds) -> list[str]:
         """Eject the slowest upstreams within the bound; return their names."""
+        if now - self._judged_s < JUDGE_EVERY_S:
+            return []
+        self._judged_s = now
+        ttft_s, tbt_s = self.median_ttft_s(), self.median_tbt_s()
         ratios = sorted(
             (
-                (self._slowness(name), name)
+                (_slowness(health, ttft_s, tbt_s), name)
                 for name, health in self._book.items()
                 if health.verdict is Verdict.GOOD
             ),
@@ -180,21 +186,6 @@
         allowed = max(1, int(len(self._book) * self._max_ejected_part))
         return len(self._book) > 1 and ejected < allowed
 
-    def _slowness(self, name: str) -> float:
-        """Return the worst ratio of this upstream's times to the pool's."""
-        health = self._book[name]
-        peers = [h for n, h in self._book.items() if n != name]
-        ttft_s = _median(h.ttft_s for h in peers if h.samples)
-        tbt_s = _median(h.tbt_s for h in peers if h.tbt_s)
-        ratio = 0.0
-        if ttft_s:
-            seen_s = health.ttft_s if health.samples >= MIN_SAMPLES else 0.0
-            seen_s = max(seen_s, health.overdue_s)
-            ratio = seen_s / max(ttft_s, MIN_TTFT_S)
-        if tbt_s and health.tbt_s:
-            ratio = max(ratio, health.tbt_s / max(tbt_s, MIN_TBT_S))
-        return ratio
-
     def _judge_probe(self, health, ttft_s: Seconds, now: Seconds) -> None:
         health.probing = False
         median_s = max(self.median_ttft_s(), MIN_TTFT_S)
@@ -211,6 +202,18 @@
         health.overdue_s = 0.0
 
 
+def _slowness(health: UpstreamHealth, ttft_s: Seconds, tbt_s: Seconds) -> float:
+    """Return the worst ratio of an upstream's times to the pool's medians."""
+    ratio = 0.0
+    if ttft_s:
+        seen_s = health.ttft_s if health.samples >= MIN_SAMPLES else 0.0
+        seen_s = max(seen_s, health.overdue_s)
+        ratio = seen_s / max(ttft_s, MIN_TTFT_S)
+    if tbt_s and health.tbt_s:
+        ratio = max(ratio, health.tbt_s / max(tbt_s, MIN_TBT_S))
+    return ratio
+
+
 def _eject(health: UpstreamHealth, verdict: Verdict, term_s: Seconds, now: Seconds):
     health.verdict = verdict
     health.since_s = now
@@ -221,4 +224,4 @@
 
 def _median(values: Iterable[float]) -> float:
     known = list(values)
-    return statistics.median(known) if known else 0.0
+    return statistics.median_low(known) if known else 0.0
