--- a/shallotpoint/bench/baselines.py
+++ b/shallotpoint/bench/baselines.py
@@ -7,7 +7,8 @@
 from collections.abc import Mapping
 
 from shallotpoint.policy.actions import Action, Admission, Admitted, Send
-from shallotpoint.policy.scheduler import Scheduler, Slots
+from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.state import Slots
 from shallotpoint.policy.ticket import Course, Leg, Ticket
 from shallotpoint.results import Result
 from shallotpoint.types import Seconds
@@ -74,7 +75,7 @@
 
     def set_upstreams(self, slots: Mapping[str, Slots]) -> None:
         """Take over the upstreams."""
-        self.upstreams = dict(slots)
+        self._state.upstreams = dict(slots)
 
     def slots_wanted(self, now: Seconds) -> float:
         """Want nothing, as nothing is shared."""
--- a/shallotpoint/bench/policy_bench.py
+++ b/shallotpoint/bench/policy_bench.py
@@ -13,13 +13,17 @@
 from shallotpoint.bench.report import figures
 from shallotpoint.bench.workloads import WORKLOADS, Workload
 from shallotpoint.bench.world import Faults, Policy, World
-from shallotpoint.policy.scheduler import Tuning
+from shallotpoint.policy.tuning import Tuning
 
 CURRENT = "current"
 POLICIES: Mapping[str, Policy] = {
     p.name: p
     for p in (
         Policy(CURRENT, Tuning()),
+        Policy(
+            "round-0",
+            Tuning(preempt_after=0.2, preempt_owed=False, count_preemptible=False),
+        ),
         Policy("fifo-round-robin", by_priority=False),
         Policy("priority-least-connections", least_connections=True),
     )
--- a/shallotpoint/bench/workloads.py
+++ b/shallotpoint/bench/workloads.py
@@ -246,7 +246,7 @@
 def _draw_kind(workload, kind, capacity, swing, rng) -> list[Arrival]:
     if not kind.part:
         return []
-    found = []
+    found: list[Arrival] = []
     at_s = 0.0
     peak_per_s = kind.part * capacity / kind.mean() * HIGH_SWING
     while True:
--- a/shallotpoint/bench/world.py
+++ b/shallotpoint/bench/world.py
@@ -14,8 +14,10 @@
 from shallotpoint.controllers.sections import credit_key
 from shallotpoint.coordination.credits import CreditLedger, PeerCredits
 from shallotpoint.policy.actions import Expire, Refused, Send, Withdraw
-from shallotpoint.policy.scheduler import Scheduler, Slots, Tuning
+from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.state import Slots
 from shallotpoint.policy.ticket import Ticket
+from shallotpoint.policy.tuning import Tuning
 from shallotpoint.results import Result
 from shallotpoint.types import Seconds
 
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -17,7 +17,8 @@
 from shallotpoint.policy.actions import Admission, Admitted, Expire, Send, Withdraw
 from shallotpoint.policy.model import Pool
 from shallotpoint.policy.poison import CrashReport, PoisonBook
-from shallotpoint.policy.scheduler import Scheduler, Slots
+from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.state import Slots
 from shallotpoint.policy.ticket import Ticket
 from shallotpoint.results import Result
 from shallotpoint.types import Clock, Seconds
--- /dev/null
+++ b/shallotpoint/policy/admission.py
@@ -0,0 +1,89 @@
+"""Whether a request is queued, and how long it would wait."""
+
+from __future__ import annotations
+
+from shallotpoint.policy.actions import Refused
+from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.ordering import has_room
+from shallotpoint.policy.queueing import FairQueue
+from shallotpoint.policy.rescue import count_giving_way
+from shallotpoint.policy.state import PoolState
+from shallotpoint.policy.ticket import Ticket
+from shallotpoint.results import Result
+from shallotpoint.types import Seconds
+
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 30.0
+
+
+def retry_after_s(wait_s: Seconds) -> Seconds:
+    """Return a sensible ``Retry-After`` for an excess wait, in seconds."""
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+
+def estimate_wait_s(
+    state: PoolState, cls: ServiceClass, organisation: str, now: Seconds
+) -> Seconds:
+    """Return the estimated wait of a new request, in seconds."""
+    queue = state.queues.get(cls.name)
+    ahead = _ahead_in_class(queue, organisation) + _ahead_in_higher_tiers(state, cls)
+    if ahead < 1 and has_room(state, cls, now):
+        return 0.0
+    start_s = 0.0
+    if state.tuning.count_preemptible and state.tuning.preempt_after is not None:
+        if cls.ttft_s is not None:
+            start_s = state.tuning.preempt_after * cls.ttft_s
+            ahead -= count_giving_way(state, cls, limit=ahead + 1)
+    if ahead < 0:
+        return start_s
+    rate = _service_rate(state, cls, now)
+    return start_s + (ahead + 1) / rate if rate > 0 else start_s
+
+
+def refusal(state: PoolState, ticket: Ticket, now: Seconds) -> Refused | None:
+    """Return why a request is not queued, or None if it is."""
+    cls = ticket.service_class
+    if state.poison.blocked(ticket.fingerprint, now):
+        return Refused(Result.POISON, MAX_RETRY_AFTER_S)
+    if not any(not slots.draining for slots in state.upstreams.values()):
+        return Refused(Result.NO_UPSTREAM, 1.0)
+    queue = state.queues.get(cls.name)
+    if queue is None:
+        return None
+    full = len(queue) >= cls.max_queued
+    if full or queue.size_bytes + ticket.size_bytes > cls.max_queued_bytes:
+        wait_s = estimate_wait_s(state, cls, ticket.organisation, now)
+        return Refused(Result.QUEUE_FULL, retry_after_s(wait_s))
+    if cls.patience_s is None or not state.tuning.early_refusal:
+        return None
+    wait_s = estimate_wait_s(state, cls, ticket.organisation, now)
+    if wait_s > state.tuning.refusal_margin * cls.patience_s:
+        return Refused(Result.WAIT_TOO_LONG, retry_after_s(wait_s - cls.patience_s))
+    return None
+
+
+def _ahead_in_class(queue: FairQueue | None, organisation: str) -> int:
+    if not queue:
+        return 0
+    fair = (queue.backlog(organisation) + 1) * queue.active_organisations
+    return min(len(queue), fair)
+
+
+def _ahead_in_higher_tiers(state: PoolState, cls: ServiceClass) -> int:
+    return sum(
+        len(queue)
+        for name, queue in state.queues.items()
+        if state.classes[name].tier < cls.tier
+    )
+
+
+def _service_rate(state: PoolState, cls: ServiceClass, now: Seconds) -> float:
+    """Return the requests of this class that can start per second."""
+    total = sum(d.departures.per_s(now) for d in state.demand.values())
+    higher = sum(
+        state.demand[name].arrivals_fast.per_s(now)
+        for name, other in state.classes.items()
+        if other.tier < cls.tier
+    )
+    own = state.demand[cls.name].departures.per_s(now)
+    return max(own, total - higher, cls.share * total)
--- /dev/null
+++ b/shallotpoint/policy/rescue.py
@@ -0,0 +1,122 @@
+"""Which running requests give way, get a second upstream, or move."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from shallotpoint.policy.dispatch import choose
+from shallotpoint.policy.health import Verdict
+from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.state import PoolState
+from shallotpoint.policy.ticket import Course
+from shallotpoint.types import Seconds
+
+MAX_MOVES = 4  # times that one request is carried on after a failure
+MAX_PREEMPTIONS = 20
+OWED_WAIT_S = 0.5  # a class that is owed its share waits this long before it takes
+
+
+def wants_slot(state: PoolState, cls: ServiceClass, now: Seconds) -> bool:
+    """Return whether the head of a class has waited long enough to preempt."""
+    head = state.queues[cls.name].peek()
+    if head is None or state.tuning.preempt_after is None:
+        return False
+    waited_s = now - state.courses[head.id].queued_s
+    if cls.ttft_s is not None and cls.tier == 1:
+        if waited_s >= state.tuning.preempt_after * cls.ttft_s:
+            return True
+    owed = state.tuning.preempt_owed and state.is_owed(cls.name)
+    return owed and waited_s >= OWED_WAIT_S
+
+
+def victim(state: PoolState, cls: ServiceClass) -> Course | None:
+    """Return the running request that gives way to a class, or None.
+
+    The lowest tier goes first, then the longest answer so far: it is the one
+    that is likely to hold its slot longest.
+    """
+    best: tuple[int, int, str] | None = None
+    for course in _giving_way(state, cls):
+        key = (course.ticket.service_class.tier, course.tokens, course.ticket.id)
+        if best is None or key > best:
+            best = key
+    return state.courses[best[2]] if best else None
+
+
+def count_giving_way(state: PoolState, cls: ServiceClass, *, limit: int) -> int:
+    """Return how many running requests would give way, counted up to a limit."""
+    count = 0
+    for _ in _giving_way(state, cls):
+        count += 1
+        if count >= limit:
+            break
+    return count
+
+
+def _giving_way(state: PoolState, cls: ServiceClass) -> Iterator[Course]:
+    lower = {
+        name
+        for name, other in state.classes.items()
+        if other.tier > cls.tier and state.running[name] and not other.protected
+    }
+    if not lower:
+        return
+    for slots in state.upstreams.values():
+        for ticket_id in slots.running:
+            course = state.courses[ticket_id]
+            other = course.ticket.service_class
+            if (
+                other.name in lower
+                and course.ticket.preemptible
+                and course.preemptions < MAX_PREEMPTIONS
+                and len(course.legs) == 1
+                and not state.is_owed(other.name)
+            ):
+                yield course
+
+
+def overdue(state: PoolState, now: Seconds) -> Iterator[tuple[Course, str]]:
+    """Yield requests with an overdue first token, and a second upstream for each."""
+    if state.tuning.hedge_ratio is None:
+        return
+    median_s = state.health.median_ttft_s()
+    limit_s = max(state.tuning.hedge_min_s, state.tuning.hedge_ratio * median_s)
+    for ticket_id in list(state.starting):
+        course = state.courses[ticket_id]
+        if len(course.legs) != 1 or not course.ticket.idempotent:
+            continue
+        if now - course.legs[0].sent_s < limit_s:
+            continue
+        names = [
+            name
+            for name, slots in state.upstreams.items()
+            if slots.free and state.is_usable(name) and name not in course.tried
+        ]
+        upstream = choose((state.candidate(n, now) for n in names), cached_on=None)
+        if upstream is None:
+            continue
+        if state.budget(course.ticket, course.legs[0].upstream).spend(now):
+            yield course, upstream
+
+
+def stuck_on_slow(state: PoolState, now: Seconds) -> Iterator[Course]:
+    """Yield streams to carry on elsewhere, as their upstream became slow."""
+    if not state.tuning.move_slow:
+        return
+    for name, slots in state.upstreams.items():
+        if not slots.running or state.health[name].verdict is not Verdict.SLOW:
+            continue
+        for ticket_id in sorted(slots.running):
+            course = state.courses[ticket_id]
+            if _may_move(state, course, name, now):
+                yield course
+
+
+def _may_move(state: PoolState, course: Course, upstream: str, now: Seconds) -> bool:
+    if not course.ticket.resumable or course.moves >= MAX_MOVES:
+        return False
+    if len(course.legs) != 1 or course.legs[0].waiting:
+        return False
+    if course.legs[0].sent_s >= state.health[upstream].since_s:
+        return False
+    return state.free_slots > 0 and state.budget(course.ticket, upstream).spend(now)
--- /dev/null
+++ b/shallotpoint/policy/state.py
@@ -0,0 +1,128 @@
+"""What one router knows of one pool; decisions read it, the scheduler writes it."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from shallotpoint.policy.demand import Demand
+from shallotpoint.policy.dispatch import Candidate, PrefixMap
+from shallotpoint.policy.health import HealthBook, Verdict
+from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.poison import PoisonBook
+from shallotpoint.policy.queueing import FairQueue
+from shallotpoint.policy.retries import RetryBudget
+from shallotpoint.policy.shares import ShareLedger
+from shallotpoint.policy.ticket import Course, Ticket
+from shallotpoint.policy.tuning import Tuning
+from shallotpoint.types import Seconds
+
+OWED_SLOTS = 1.0  # slot-seconds of debt that outrank tiers
+
+
+@dataclass(slots=True)
+class Slots:
+    """One upstream's capacity as this router may use it.
+
+    Attributes
+    ----------
+    credits : int
+        Requests that this router may have on the upstream.
+    total : int
+        Requests that the upstream runs at once.
+    elsewhere : int
+        Requests of other routers there, by their last word.
+    suspect : str or None
+        The one request on it that may have crashed another upstream.
+    """
+
+    credits: int
+    total: int
+    near: bool = True
+    draining: bool = False
+    elsewhere: int = 0
+    running: set[str] = field(default_factory=set)
+    suspect: str | None = None
+
+    @property
+    def free(self) -> int:
+        """Slots that this router may still fill."""
+        return 0 if self.draining else max(0, self.credits - len(self.running))
+
+
+@dataclass(slots=True)
+class PoolState:
+    """Queues, courses and upstreams of one pool.
+
+    Attributes
+    ----------
+    starting : dict
+        Ids of requests that wait upstream for their first token, in order.
+    running : dict
+        Slots held, by class.
+    """
+
+    tuning: Tuning
+    poison: PoisonBook
+    health: HealthBook = field(default_factory=HealthBook)
+    courses: dict[str, Course] = field(default_factory=dict)
+    upstreams: dict[str, Slots] = field(default_factory=dict)
+    queues: dict[str, FairQueue] = field(default_factory=dict)
+    classes: dict[str, ServiceClass] = field(default_factory=dict)
+    running: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    demand: dict[str, Demand] = field(default_factory=lambda: defaultdict(Demand))
+    shares: ShareLedger = field(default_factory=ShareLedger)
+    prefixes: PrefixMap = field(default_factory=PrefixMap)
+    starting: dict[str, None] = field(default_factory=dict)
+    budgets: dict[tuple[str, str], RetryBudget] = field(default_factory=dict)
+
+    @property
+    def waiting_count(self) -> int:
+        """Requests that wait, over all classes."""
+        return sum(len(queue) for queue in self.queues.values())
+
+    @property
+    def total_slots(self) -> int:
+        """Slots that this router may fill on upstreams that take work."""
+        return sum(
+            slots.credits
+            for name, slots in self.upstreams.items()
+            if not slots.draining and self.is_usable(name)
+        )
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that ordinary work could take now."""
+        return sum(s.free for n, s in self.upstreams.items() if self.is_usable(n))
+
+    def is_usable(self, upstream: str) -> bool:
+        """Return whether an upstream may take ordinary work."""
+        if not self.tuning.health:
+            return True
+        return self.health[upstream].verdict is Verdict.GOOD
+
+    def is_owed(self, class_name: str) -> bool:
+        """Return whether a class has had clearly less than its share."""
+        return self.shares.owed(class_name) >= OWED_SLOTS
+
+    def budget(self, ticket: Ticket, upstream: str) -> RetryBudget:
+        """Return the retry budget of a request's class on an upstream."""
+        key = (ticket.service_class.name, upstream)
+        budget = self.budgets.get(key)
+        if budget is None:
+            budget = self.budgets[key] = RetryBudget()
+        return budget
+
+    def candidate(self, upstream: str, now: Seconds) -> Candidate:
+        """Return an upstream as the choice among upstreams sees it."""
+        slots = self.upstreams[upstream]
+        health = self.health[upstream]
+        return Candidate(
+            upstream,
+            running=len(slots.running),
+            elsewhere=slots.elsewhere,
+            slots=slots.total,
+            ttft_s=health.ttft_s,
+            weight=health.weight(now) if self.tuning.health else 1.0,
+            near=slots.near,
+        )
--- a/shallotpoint/policy/ticket.py
+++ b/shallotpoint/policy/ticket.py
@@ -79,6 +79,7 @@
     tokens: int = 0
     prepaid: int = 0
     moves: int = 0
+    preemptions: int = 0
     suspect: bool = False
 
     def leg_on(self, upstream: str) -> Leg | None:
