--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -23,6 +23,7 @@
 CREDITS_TOPIC = "credits"
 CRASHES_TOPIC = "crashes"
 TICK_S = 0.1
+MIN_TICK_S = 0.02
 
 _rows = msgspec.msgpack.Decoder(CreditRow)
 
@@ -61,6 +62,7 @@
         self._on_news = on_news
         self._write = board.claim(CreditsSection, "sharing")
         self._published: CreditRow | None = None
+        self._ticked_s: Seconds = 0.0
         self._crashes: list[CrashReport] = []
         board.on_change(ConfigSection, lambda _: self._configure())
         board.on_change(HostsSection, lambda _: self._configure())
@@ -68,15 +70,19 @@
     def take_rows(self, rows: Sequence[Row]) -> None:
         """Take in rows that came from peers."""
         now = self._clock()
+        wanted_urgently = False
         for row in rows:
             if row.topic == CREDITS_TOPIC:
                 credits = PeerCredits(row.incarnation, _rows.decode(row.payload))
-                self._ledger.hear(row.origin, credits)
+                self._ledger.hear(row.origin, credits, now=now)
+                wanted_urgently |= bool(_lacks(credits.row))
             elif row.topic == CRASHES_TOPIC:
                 for crash in _crashes.decode(row.payload):
                     at_s = now - crash.age_s
                     report = CrashReport(crash.fingerprint, crash.upstream, at_s)
                     self._pools.poison.crashed(report)
+        if wanted_urgently:
+            self.tick_soon()
 
     def crashed(self, report: CrashReport) -> None:
         """Spread a crash that was seen here."""
@@ -96,12 +102,19 @@
             self.tick()
             await asyncio.sleep(TICK_S)
 
+    def tick_soon(self) -> None:
+        """Tick now, unless that was done a moment ago; for urgent work."""
+        if self._clock() - self._ticked_s >= MIN_TICK_S:
+            self.tick()
+
     def tick(self) -> None:
         """Rebalance once and publish what changed."""
-        now = self._clock()
-        for key, (wanted, running) in self._pools.wanted(now).items():
-            self._ledger.set_use(key, wanted=wanted, running=running)
-        moved = self._ledger.rebalance(now=now)
+        now = self._ticked_s = self._clock()
+        moved = self._rebalance(now)
+        if self._ledger.has_promises:
+            # Work that gives way leaves first; then its slots can be lent.
+            self._publish_held(self._ledger.row(now=now), now)
+            moved |= self._rebalance(now)
         row = self._ledger.row(now=now)
         if row != self._published:
             urgent = moved or _lacks(row) != _lacks(self._published)
@@ -110,10 +123,17 @@
             self._gossip.publish(CREDITS_TOPIC, payload, now=now)
             if urgent:
                 self._on_news()
-        self._publish_held(row)
+        self._publish_held(row, now)
+
+    def _rebalance(self, now: Seconds) -> bool:
+        for key, want in self._pools.wanted(now).items():
+            self._ledger.set_use(
+                key, wanted=want.wanted, running=want.running, urgent=want.urgent
+            )
+        return self._ledger.rebalance(now=now)
 
-    def _publish_held(self, row: CreditRow) -> None:
-        held = {key: use.held for key, use in row.use.items()}
+    def _publish_held(self, row: CreditRow, now: Seconds) -> None:
+        held = {key: self._ledger.allowed(key, now=now) for key in row.use}
         elsewhere = {key: self._ledger.running_elsewhere(key) for key in row.use}
         self._write(CreditsSection(held, elsewhere))
 
@@ -126,6 +146,8 @@
         }
         routers = {*self._board.get(HostsSection).routers(), self._name}
         self._ledger.configure(capacities, routers, now=self._clock())
+        # Rows that came before their router was listed were not taken in.
+        self.take_rows(list(self._gossip.rows(CREDITS_TOPIC)))
         self.tick()
 
 
@@ -133,4 +155,6 @@
     """Return the upstreams of which a member wants more than it holds."""
     if row is None:
         return set()
-    return {key for key, use in row.use.items() if use.wanted > use.held}
+    return {
+        key for key, use in row.use.items() if max(use.wanted, use.urgent) > use.held
+    }
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from shallotpoint.blackboard import Blackboard
@@ -42,10 +43,18 @@
 class PoolRunner:
     """One pool's scheduler and the requests that it decides on."""
 
-    def __init__(self, pool: Pool, poison: PoisonBook, clock: Clock):
+    def __init__(
+        self,
+        pool: Pool,
+        poison: PoisonBook,
+        clock: Clock,
+        *,
+        on_urgent: Callable[[], None] = lambda: None,
+    ):
         self.pool = pool
         self.scheduler = Scheduler(poison=poison)
         self._clock = clock
+        self._on_urgent = on_urgent
         self._runners: dict[str, Runner] = {}
         self._polling = False
 
@@ -55,6 +64,8 @@
         if isinstance(admission, Admitted):
             self._runners[ticket.id] = runner
             self.poll()
+            if self.scheduler.urgent_waiting(self._clock()):
+                self._on_urgent()
         return admission
 
     def progress(self, ticket_id: str, upstream: str, tokens: int) -> None:
@@ -122,12 +133,14 @@
         data_centre: str,
         clock: Clock,
         on_crash: Callable[[CrashReport], None] = lambda report: None,
+        on_urgent: Callable[[], None] = lambda: None,
     ):
         self.poison = PoisonBook()
         self._board = board
         self._data_centre = data_centre
         self._clock = clock
         self._on_crash = on_crash
+        self._on_urgent = on_urgent
         self._runners: dict[str, PoolRunner] = {}
         for section in (ConfigSection, HostsSection, CreditsSection):
             board.on_change(section, lambda _: self.refresh())
@@ -151,7 +164,9 @@
         for name, pool in config.pools.items():
             runner = self._runners.get(name)
             if runner is None:
-                runner = PoolRunner(pool, self.poison, self._clock)
+                runner = PoolRunner(
+                    pool, self.poison, self._clock, on_urgent=self._on_urgent
+                )
                 self._runners[name] = runner
             runner.pool = pool
             runner.scheduler.set_classes(config.classes)
@@ -174,9 +189,9 @@
                 runner.scheduler.crash_reports.clear()
             self.poison.expire(self._clock())
 
-    def wanted(self, now: Seconds) -> dict[str, tuple[int, int]]:
-        """Return the slots wanted and running, by pool and upstream."""
-        wants: dict[str, tuple[int, int]] = {}
+    def wanted(self, now: Seconds) -> dict[str, Want]:
+        """Return what all pools could use, by pool and upstream."""
+        wants: dict[str, Want] = {}
         for runner in self._runners.values():
             wants |= pool_wants(runner.pool.name, runner.scheduler, now)
         return wants
@@ -205,21 +220,30 @@
         return slots
 
 
-def pool_wants(
-    pool: str, scheduler: Scheduler, now: Seconds
-) -> dict[str, tuple[int, int]]:
-    """Spread what a pool could use over its upstreams.
+@dataclass(frozen=True, slots=True)
+class Want:
+    """What one pool could use of one upstream.
 
-    Returns
-    -------
-    dict
-        Slots wanted and running, by :func:`credit_key`.
+    Attributes
+    ----------
+    wanted, running, urgent : int
+        Slots, as in :class:`~shallotpoint.coordination.credits.Use`.
     """
+
+    wanted: int
+    running: int
+    urgent: int
+
+
+def pool_wants(pool: str, scheduler: Scheduler, now: Seconds) -> dict[str, Want]:
+    """Spread what a pool could use over its upstreams, by :func:`credit_key`."""
     usable = {
         name: slots for name, slots in scheduler.upstreams.items() if not slots.draining
     }
     total = scheduler.slots_wanted(now)
+    waiting = scheduler.urgent_waiting(now)
     held = sum(slots.credits for slots in usable.values())
+    urgent_each = math.ceil(waiting / len(usable)) if usable else 0
     wants = {}
     for name, slots in usable.items():
         running = len(slots.running)
@@ -227,6 +251,9 @@
             wanted = slots.credits + math.ceil((total - held) / len(usable))
         else:
             wanted = math.ceil(slots.credits * total / held) if held else 0
-        wanted = min(slots.total, max(running, wanted))
-        wants[credit_key(pool, name)] = (wanted, running)
+        wants[credit_key(pool, name)] = Want(
+            wanted=min(slots.total, max(running, wanted)),
+            running=running,
+            urgent=min(slots.total, scheduler.firm_running(name) + urgent_each),
+        )
     return wants
--- a/shallotpoint/coordination/credits.py
+++ b/shallotpoint/coordination/credits.py
@@ -6,25 +6,31 @@
 Both only grow, and each side acts on the other's counter as last seen.  A row
 that is late, lost or repeated therefore makes units idle, never double.
 
-The guarantee: while members see the same member list to within ``SETTLE_S``,
-the units held by all of them never exceed the capacity.  Calls that were
-started before a member lost a unit to a newcomer come on top until they end.
+The guarantee: the units held by all members never exceed the capacity, whatever
+is late, lost or partitioned.  A unit that is gained by a change of members or by
+a start is used only once every listed peer has shown, in its own row, that it
+goes by the same member list and has heard of this start, and at the earliest
+after ``SETTLE_S``.  Until then a newcomer borrows.  Calls that were started on a
+unit before a member lost it come on top until they end.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 
 import msgspec
 
 from shallotpoint.coordination.overlay import rendezvous_score
+from shallotpoint.hashing import hash64
 from shallotpoint.types import Seconds
 
 SETTLE_S = 3.0  # a unit gained by a change of members is used after this time
 IDLE_BEFORE_RETURN_S = 1.0
+MAX_URGENT_DELAY_S = 0.5  # with slower peers, units would idle on their way
+_DELAY_GAIN = 0.3
 
 
 class Use(msgspec.Struct, frozen=True, array_like=True):
@@ -38,11 +44,24 @@
         Units it may use.
     running : int
         Units in use.
+    urgent : int
+        Units it needs now for work that cannot give way or wait.
     """
 
     wanted: int = 0
     held: int = 0
     running: int = 0
+    urgent: int = 0
+
+    @property
+    def idle(self) -> int:
+        """Units that are neither in use nor wanted."""
+        return max(0, self.held - max(self.running, self.wanted))
+
+    @property
+    def yielding(self) -> int:
+        """Units that could be freed for urgent work elsewhere."""
+        return max(0, self.held - self.urgent)
 
 
 class Taken(msgspec.Struct, frozen=True, array_like=True):
@@ -64,11 +83,17 @@
         Units lent to a peer.
     taken : dict
         Units borrowed from a peer.
+    view : int
+        Hash of the member list that the member goes by.
+    known : dict
+        Incarnation of each peer that the member has heard and goes by.
     """
 
     use: dict[str, Use] = {}
     granted: dict[str, dict[str, int]] = {}
     taken: dict[str, dict[str, Taken]] = {}
+    view: int = 0
+    known: dict[str, int] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,13 +112,49 @@
     use: Mapping[str, Use]
     granted: Mapping[str, int]
     taken: Mapping[str, Taken]
+    view: int
+    knows_me: bool
+
+
+@dataclass(slots=True)
+class _Delay:
+    """How long a peer takes to see a grant, from one grant at a time."""
+
+    average_s: Seconds = 0.0
+    upstream: str = ""
+    total: int = 0
+    since_s: Seconds | None = None
+
+    def granted(self, upstream: str, total: int, now: Seconds) -> None:
+        """Start to time a grant, unless one is under way."""
+        if self.since_s is None:
+            self.upstream, self.total, self.since_s = upstream, total, now
+
+    def heard(self, taken: Mapping[str, Taken], now: Seconds) -> None:
+        """Note what the peer has seen."""
+        seen = taken.get(self.upstream)
+        if self.since_s is None or seen is None or seen.seen < self.total:
+            return
+        delay_s = now - self.since_s
+        self.average_s += _DELAY_GAIN * (delay_s - self.average_s)
+        self.since_s = None
+
+    def is_long(self, now: Seconds) -> bool:
+        """Return whether grants reach the peer too late for urgent work."""
+        return self.present_s(now) > MAX_URGENT_DELAY_S
+
+    def present_s(self, now: Seconds) -> Seconds:
+        """Return the delay, counting a grant that is still unseen."""
+        unseen_s = 0.0 if self.since_s is None else now - self.since_s
+        return max(self.average_s, unseen_s)
 
 
 @dataclass(slots=True)
 class _Unit:
-    """One owned unit and when it may be used."""
+    """One owned unit: usable from a time on, once all peers know of the owner."""
 
     from_s: Seconds
+    agreed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +171,10 @@
     owned: dict[int, _Unit] = field(default_factory=dict)
     wanted: int = 0
     running: int = 0
+    urgent: int = 0
+    promised: int = 0
+    held: int | None = None
+    held_until_s: Seconds = 0.0
     idle_since_s: Seconds | None = None
     frozen: list[_Frozen] = field(default_factory=list)
 
@@ -133,8 +198,11 @@
     >>> two = CreditLedger("two", 1, settle_s=0.0)
     >>> for ledger in (one, two):
     ...     ledger.configure({"u": 8}, ["one", "two"], now=0.0)
-    >>> one.held("u", now=0.0) + two.held("u", now=0.0)
-    8
+    >>> for _ in range(2):
+    ...     one.hear("two", PeerCredits(1, two.row(now=0.0)), now=0.0)
+    ...     two.hear("one", PeerCredits(1, one.row(now=0.0)), now=0.0)
+    >>> one.held("u", now=0.0), two.held("u", now=0.0)
+    (4, 4)
     """
 
     def __init__(self, name: str, incarnation: int, *, settle_s: Seconds = SETTLE_S):
@@ -145,6 +213,9 @@
         self._members: tuple[str, ...] = ()
         self._own_address = f"{name}#{incarnation}"
         self._peers: dict[str, _Peer] = {}
+        self._view = 0
+        self._agreed = False
+        self._delays: dict[str, _Delay] = {}
         self._granted: dict[str, dict[str, int]] = {}
         self._returned: dict[str, dict[str, int]] = {}
 
@@ -153,48 +224,77 @@
     ) -> None:
         """Take over the upstreams' capacities and the listed members."""
         self._members = tuple(sorted({*members, self.name}))
+        view = hash64("\n".join(self._members))
+        if view != self._view:
+            self._view, self._agreed = view, False
         for name in self._upstreams.keys() - capacities.keys():
             del self._upstreams[name]
         for name, capacity in capacities.items():
             upstream = self._upstreams.setdefault(name, _Upstream(capacity))
             upstream.capacity = capacity
             self._own(name, upstream, now)
+            upstream.held = None
         for peer in self._peers.keys() - set(self._members):
             self._freeze_loans(peer, now)
             self._drop_peer(peer)
+            self._recount()
+        if not self._agreed:
+            self._note_agreement()
 
-    def hear(self, peer: str, credits: PeerCredits) -> None:
+    def hear(self, peer: str, credits: PeerCredits, *, now: Seconds) -> None:
         """Take in a peer's row; a new incarnation voids what the old one did."""
         if peer == self.name or peer not in self._members:
             return
         known = self._peers.get(peer)
         if known is not None and credits.incarnation > known.incarnation:
             self._drop_peer(peer)
+            self._recount()
         elif known is not None and credits.incarnation < known.incarnation:
             return
         row = credits.row
-        self._peers[peer] = _Peer(
+        heard = _Peer(
             credits.incarnation,
             row.use,
             row.granted.get(self._own_address, {}),
             row.taken.get(self._own_address, {}),
+            row.view,
+            row.known.get(self.name) == self.incarnation,
         )
-
-    def set_use(self, upstream: str, *, wanted: int, running: int) -> None:
-        """Note the units in use, and those that could be used now."""
+        known = self._peers.get(peer)
+        self._peers[peer] = heard
+        if known is None or (known.granted, known.taken) != (
+            heard.granted,
+            heard.taken,
+        ):
+            self._recount()
+        if not self._agreed:
+            self._note_agreement()
+        if peer in self._delays:
+            self._delays[peer].heard(heard.taken, now)
+
+    def set_use(
+        self, upstream: str, *, wanted: int, running: int, urgent: int = 0
+    ) -> None:
+        """Note the units in use, those that could be used, and the urgent ones."""
         state = self._upstreams.get(upstream)
         if state is not None:
             state.wanted = wanted
             state.running = running
+            state.urgent = urgent
 
     def held(self, upstream: str, *, now: Seconds) -> int:
         """Return the units of an upstream that this member may use."""
         state = self._upstreams.get(upstream)
         if state is None:
             return 0
-        owned = sum(1 for unit in state.owned.values() if unit.from_s <= now)
-        if state.frozen:
-            state.frozen = [f for f in state.frozen if f.until_s > now]
+        if state.held is None or now >= state.held_until_s:
+            state.held = self._count_held(upstream, state, now)
+            state.held_until_s = _next_change_s(state, now)
+        return state.held
+
+    def _count_held(self, upstream: str, state: _Upstream, now: Seconds) -> int:
+        owned = sum(1 for u in state.owned.values() if u.agreed and u.from_s <= now)
+        state.frozen = [f for f in state.frozen if f.until_s > now]
         away = sum(f.count for f in state.frozen)
         for name, peer in self._peers.items():
             lent = self._granted.get(name, {}).get(upstream, 0)
@@ -206,6 +306,11 @@
                 away -= borrowed - self._returned.get(name, {}).get(upstream, 0)
         return owned - away
 
+    def allowed(self, upstream: str, *, now: Seconds) -> int:
+        """Return the units to use: those held but not promised to urgent work."""
+        state = self._upstreams.get(upstream)
+        return self.held(upstream, now=now) - state.promised if state else 0
+
     def rebalance(self, *, now: Seconds) -> bool:
         """Give back and lend what is not needed here; True if any moved."""
         moved = False
@@ -214,15 +319,24 @@
             moved |= self._lend(name, state, now)
         return moved
 
+    @property
+    def has_promises(self) -> bool:
+        """Whether units are to be freed for urgent work of peers."""
+        return any(state.promised for state in self._upstreams.values())
+
     def row(self, *, now: Seconds) -> CreditRow:
         """Return this member's row for its peers."""
         use = {
-            name: Use(state.wanted, self.held(name, now=now), state.running)
+            name: Use(
+                state.wanted, self.held(name, now=now), state.running, state.urgent
+            )
             for name, state in self._upstreams.items()
         }
         granted = {self._address(p): dict(c) for p, c in self._granted.items() if c}
         taken = {self._address(p): self._taken_from(p) for p in self._peers}
-        return CreditRow(use, granted, {p: t for p, t in taken.items() if t})
+        known = {name: peer.incarnation for name, peer in self._peers.items()}
+        taken = {p: t for p, t in taken.items() if t}
+        return CreditRow(use, granted, taken, self._view, known)
 
     def running_elsewhere(self, upstream: str) -> int:
         """Return the calls of all peers on an upstream, by their last rows."""
@@ -232,15 +346,30 @@
     # Ownership
 
     def _own(self, name: str, upstream: _Upstream, now: Seconds) -> None:
-        scores = {
-            index: max(self._members, key=partial(_score_of, f"{name}/{index}"))
-            for index in range(upstream.capacity)
-        }
-        mine = {index for index, owner in scores.items() if owner == self.name}
+        owners = owners_of(name, upstream.capacity, self._members)
+        mine = {index for index, owner in enumerate(owners) if owner == self.name}
         for index in upstream.owned.keys() - mine:
             del upstream.owned[index]
         for index in mine - upstream.owned.keys():
-            upstream.owned[index] = _Unit(now + self._settle_s)
+            upstream.owned[index] = _Unit(now + self._settle_s, self._agreed)
+
+    def _note_agreement(self) -> None:
+        """Free owned units for use once every listed peer goes by the same view.
+
+        A peer that has heard this start has dropped what an earlier start lent
+        it; one with the same member list claims none of the same units.
+        """
+        for name in self._members:
+            if name == self.name:
+                continue
+            peer = self._peers.get(name)
+            if peer is None or not peer.knows_me or peer.view != self._view:
+                return
+        self._agreed = True
+        for state in self._upstreams.values():
+            state.held = None
+            for unit in state.owned.values():
+                unit.agreed = True
 
     # Lending
 
@@ -263,6 +392,10 @@
         returned = self._returned.get(peer, {})
         return {u: Taken(seen, returned.get(u, 0)) for u, seen in granted.items()}
 
+    def _recount(self) -> None:
+        for state in self._upstreams.values():
+            state.held = None
+
     def _freeze_loans(self, peer: str, now: Seconds) -> None:
         """Leave units unused that a peer may still use while views differ."""
         for name, state in self._upstreams.items():
@@ -273,6 +406,7 @@
     def _drop_peer(self, peer: str) -> None:
         self._peers.pop(peer, None)
         self._granted.pop(peer, None)
+        self._delays.pop(peer, None)
         self._returned.pop(peer, None)
 
     def _peer_use(self, peer: str, upstream: str) -> Use:
@@ -288,7 +422,7 @@
             state.idle_since_s = now
         long_idle = (
             state.idle_since_s is not None
-            and now - state.idle_since_s >= IDLE_BEFORE_RETURN_S
+            and now - state.idle_since_s >= self._idle_before_return_s(now)
         )
         free = held - state.running
         moved = False
@@ -297,44 +431,113 @@
             if borrowed <= 0 or free <= 0:
                 continue
             use = self._peer_use(peer, name)
-            recalled = max(0, use.wanted - use.held)
+            recalled = max(0, max(use.wanted, use.urgent) - use.held)
+            if peer in self._delays and self._delays[peer].is_long(now):
+                recalled = 0
             count = min(borrowed, free, max(recalled, idle if long_idle else 0))
             if count > 0:
                 counters = self._returned.setdefault(peer, {})
                 counters[name] = counters.get(name, 0) + count
+                state.held = None
                 free -= count
                 idle -= count
                 moved = True
         return moved
 
+    def _idle_before_return_s(self, now: Seconds) -> Seconds:
+        """Return how long borrowed units are kept idle; longer with slow peers."""
+        slowest_s = max((d.present_s(now) for d in self._delays.values()), default=0.0)
+        return max(IDLE_BEFORE_RETURN_S, 2 * slowest_s)
+
     def _lend(self, name: str, state: _Upstream, now: Seconds) -> bool:
-        """Lend idle units to the peers that lack most."""
+        """Lend idle units, and free units that are urgent elsewhere."""
         held = self.held(name, now=now)
         borrowed = sum(max(0, self._borrowed(p, name)) for p in self._peers)
-        spare = held - max(state.running, state.wanted) - borrowed
-        if spare <= 0:
-            return False
-        lacking = self._lacking(name)
-        others = sum(self._spare_of(peer, name) for peer in self._peers)
+        own = Use(state.wanted, held, state.running, state.urgent)
+        owned = held - borrowed
         moved = False
-        for peer, lack in lacking:
-            # Several owners see the same lack, so each covers only its part.
-            part = math.ceil(lack * spare / max(1, spare + others))
-            count = min(spare, part)
-            if count <= 0:
-                break
-            counters = self._granted.setdefault(peer, {})
-            counters[name] = counters.get(name, 0) + count
-            spare -= count
-            moved = True
+        state.promised = 0
+        for peer, lack in self._lacking(name, urgent=True):
+            if peer in self._delays and self._delays[peer].is_long(now):
+                continue
+            part = self._my_part(name, lack, peer, own.yielding, _yielding)
+            part = min(part, owned, own.yielding)
+            free = max(0, held - state.running)
+            moved |= self._grant(peer, name, min(part, free), now)
+            # The rest is lent once the work that gives way has left.
+            state.promised += max(0, part - free)
+            held -= min(part, free)
+            owned -= part
+            own = Use(state.wanted, held, state.running, state.urgent)
+        for peer, lack in self._lacking(name, urgent=False):
+            if not self._worth_lending(peer, state, now):
+                continue
+            part = self._my_part(name, lack, peer, own.idle, _idle)
+            part = min(part, owned, own.idle)
+            moved |= self._grant(peer, name, part, now)
+            owned -= part
+            held -= part
+            own = Use(state.wanted, held, state.running, state.urgent)
         return moved
 
-    def _lacking(self, name: str) -> list[tuple[str, int]]:
-        """Return peers that want more than they hold, with what is on its way."""
+    def _worth_lending(self, peer: str, state: _Upstream, now: Seconds) -> bool:
+        """Return whether idle units are likely still idle once the peer has them."""
+        delay = self._delays.get(peer)
+        if delay is None or not delay.is_long(now):
+            return True
+        idle_s = 0.0 if state.idle_since_s is None else now - state.idle_since_s
+        return idle_s > delay.present_s(now)
+
+    def _grant(self, peer: str, name: str, count: int, now: Seconds) -> bool:
+        if count <= 0:
+            return False
+        counters = self._granted.setdefault(peer, {})
+        counters[name] = counters.get(name, 0) + count
+        self._upstreams[name].held = None
+        delay = self._delays.setdefault(peer, _Delay())
+        delay.granted(name, counters[name], now)
+        return True
+
+    def _my_part(
+        self,
+        name: str,
+        lack: int,
+        borrower: str,
+        own: int,
+        spare_of: Callable[[Use], int],
+    ) -> int:
+        """Return how much of a lack this member covers.
+
+        All owners see the same lack, so each works out who gives what: one unit
+        each, those with most to spare first, until it is covered.
+        """
+        spare = {
+            p: spare_of(self._peer_use(p, name)) for p in self._peers if p != borrower
+        }
+        spare[self.name] = own
+        order = sorted(
+            (m for m, count in spare.items() if count > 0),
+            key=lambda m: (-spare[m], rendezvous_score(m, name)),
+        )
+        part = 0
+        while lack > 0 and order:
+            for member in list(order):
+                if lack <= 0:
+                    break
+                lack -= 1
+                spare[member] -= 1
+                part += member == self.name
+                if spare[member] <= 0:
+                    order.remove(member)
+        return part
+
+    def _lacking(self, name: str, *, urgent: bool) -> list[tuple[str, int]]:
+        """Return peers that need more than they hold, with what is on its way."""
         lacking = []
         for peer in self._peers:
             use = self._peer_use(peer, name)
-            lack = use.wanted - use.held - self._unseen_by(peer, name)
+            needed = use.urgent if urgent else use.wanted
+            lack = needed - use.held - self._unseen_by(peer, name)
             if lack > 0:
                 lacking.append((peer, lack))
         return sorted(lacking, key=lambda pair: -pair[1])
@@ -344,9 +547,44 @@
         granted = self._granted.get(peer, {}).get(name, 0)
         return max(0, granted - self._taken_by(peer, name).seen)
 
-    def _spare_of(self, peer: str, name: str) -> int:
-        use = self._peer_use(peer, name)
-        return max(0, use.held - max(use.running, use.wanted))
+
+def owners_of(upstream: str, capacity: int, members: Sequence[str]) -> list[str]:
+    """Return the owner of each unit: its best member that is not full yet.
+
+    Every member gets the same number, give or take one, and a change of members
+    moves few units.
+
+    Examples
+    --------
+    >>> sorted(owners_of("u", 4, ["a", "b"]))
+    ['a', 'a', 'b', 'b']
+    """
+    least, most = capacity // len(members), math.ceil(capacity / len(members))
+    counts: dict[str, int] = {}
+    owners = []
+    for index in range(capacity):
+        open_members = [m for m in members if counts.get(m, 0) < least] or [
+            m for m in members if counts.get(m, 0) < most
+        ]
+        owner = max(open_members, key=partial(_score_of, f"{upstream}/{index}"))
+        counts[owner] = counts.get(owner, 0) + 1
+        owners.append(owner)
+    return owners
+
+
+def _next_change_s(state: _Upstream, now: Seconds) -> Seconds:
+    """Return when the held units change by themselves."""
+    times = [unit.from_s for unit in state.owned.values() if unit.from_s > now]
+    times += [f.until_s for f in state.frozen if f.until_s > now]
+    return min(times, default=math.inf)
+
+
+def _idle(use: Use) -> int:
+    return use.idle
+
+
+def _yielding(use: Use) -> int:
+    return use.yielding
 
 
 def _score_of(unit: str, member: str) -> int:
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -145,6 +145,7 @@
             data_centre=settings.router.data_centre,
             clock=self._clock,
             on_crash=lambda report: self.sharing.crashed(report),
+            on_urgent=lambda: self.sharing.tick_soon(),
         )
         self.sharing = self._build_sharing()
         hosts = HttpHostList(settings.platform.hosts, session)
--- a/shallotpoint/policy/rescue.py
+++ b/shallotpoint/policy/rescue.py
@@ -75,6 +75,52 @@
                 yield course
 
 
+def urgent_waiting(state: PoolState, now: Seconds) -> int:
+    """Return the waiting requests that would preempt if they could."""
+    count = 0
+    for name, queue in state.queues.items():
+        if not len(queue) or not wants_slot(state, state.classes[name], now):
+            continue
+        if state.classes[name].tier == 1:
+            count += len(queue)
+        else:
+            count += min(len(queue), int(state.shares.owed(name)))
+    return count
+
+
+def firm_running(state: PoolState, upstream: str) -> int:
+    """Return the requests on an upstream that give way to nobody."""
+    running = state.upstreams[upstream].running
+    return sum(not _yields(state.courses[ticket_id]) for ticket_id in running)
+
+
+def over_credits(state: PoolState) -> list[Course]:
+    """Return requests that give way, as their upstream is over its credits."""
+    found: list[Course] = []
+    if state.tuning.preempt_after is None:
+        return found
+    for slots in state.upstreams.values():
+        excess = len(slots.running) - slots.credits
+        if excess <= 0 or slots.draining:
+            continue
+        yielding = [state.courses[t] for t in slots.running]
+        yielding = [c for c in yielding if _yields(c) and len(c.legs) == 1]
+        yielding.sort(
+            key=lambda c: (c.ticket.service_class.tier, c.tokens, c.ticket.id),
+            reverse=True,
+        )
+        found += yielding[:excess]
+    return found
+
+
+def _yields(course: Course) -> bool:
+    return (
+        course.ticket.preemptible
+        and course.ticket.service_class.tier > 1
+        and course.preemptions < MAX_PREEMPTIONS
+    )
+
+
 def overdue(state: PoolState, now: Seconds) -> Iterator[tuple[Course, str]]:
     """Yield requests with an overdue first token, and a second upstream for each."""
     if state.tuning.hedge_ratio is None:
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -132,6 +132,14 @@
         recent = sum(d.slots_wanted(now) for d in self._state.demand.values())
         return max(running + self.waiting_count, recent)
 
+    def urgent_waiting(self, now: Seconds) -> int:
+        """Return the waiting requests for which others should make room."""
+        return rescue.urgent_waiting(self._state, now)
+
+    def firm_running(self, upstream: str) -> int:
+        """Return the requests on an upstream that cannot give way."""
+        return rescue.firm_running(self._state, upstream)
+
     def estimate_wait_s(
         self, cls: ServiceClass, organisation: str, now: Seconds
     ) -> Seconds:
@@ -247,6 +255,7 @@
         self._note_overdue(now)
         actions = self._expire(now)
         self._update_shares(now)
+        actions += self._yield(now)
         actions += self._dispatch(now)
         actions += self._preempt(now)
         for course, upstream in rescue.overdue(self._state, now):
@@ -399,6 +408,14 @@
                 actions += self._dispatch(now)
         return actions
 
+    def _yield(self, now: Seconds) -> list[Action]:
+        """Free slots that were promised to urgent work in other routers."""
+        actions: list[Action] = []
+        for course in rescue.over_credits(self._state):
+            course.preemptions += 1
+            actions.append(self._withdraw(course, Result.RETRY_PREEMPTED, now))
+        return actions
+
     def _move(self, now: Seconds) -> list[Action]:
         """Carry streams on elsewhere when their upstream is judged slow."""
         actions: list[Action] = []
--- a/shallotpoint/policy/tuning.py
+++ b/shallotpoint/policy/tuning.py
@@ -41,7 +41,7 @@
 
     reserve: bool = True
     caps: bool = True
-    preempt_after: float | None = 0.02
+    preempt_after: float | None = 0.0
     preempt_owed: bool = True
     count_preemptible: bool = True
     hedge_ratio: float | None = 3.0
--- /dev/null
+++ b/shallotpoint/tests/test_credits.py
@@ -0,0 +1,199 @@
+"""Property: whatever is late, lost or repeated, units are never held twice."""
+
+import random
+
+from hypothesis import Phase, given, settings, strategies as st
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from shallotpoint.coordination.credits import (
+    CreditLedger,
+    PeerCredits,
+    owners_of,
+)
+from shallotpoint.testing.cases import TestCase
+
+CAPACITY = 12
+UPSTREAM = "u"
+
+
+class Cluster:
+    """Members whose rows are delivered by a schedule."""
+
+    def __init__(self, size):
+        self.names = [f"m{i}" for i in range(size)]
+        self.now = 0.0
+        self.incarnations = dict.fromkeys(self.names, 1)
+        self.ledgers = {n: self.start(n) for n in self.names}
+        self.running = dict.fromkeys(self.names, 0)
+        self.sent = []
+        for name in self.names * 2:
+            self.gossip(name, to=15)
+
+    def start(self, name):
+        ledger = CreditLedger(name, self.incarnations[name], settle_s=1.0)
+        ledger.configure({UPSTREAM: CAPACITY}, self.names, now=self.now)
+        return ledger
+
+    def publish(self, name):
+        ledger = self.ledgers[name]
+        row = PeerCredits(ledger.incarnation, ledger.row(now=self.now))
+        self.sent.append((name, row))
+
+    def deliver(self, index, to):
+        name, row = self.sent[index % len(self.sent)]
+        if name != to:
+            self.ledgers[to].hear(name, row, now=self.now)
+
+    def gossip(self, name, to):
+        """Rebalance, then tell the members whose bit is set in ``to``."""
+        ledger = self.ledgers[name]
+        ledger.rebalance(now=self.now)
+        self.publish(name)
+        for index, other in enumerate(self.names):
+            if to >> index & 1:
+                self.deliver(-1, other)
+
+    def restart(self, name):
+        """Kill a member: its calls end with it, its counters are gone."""
+        self.incarnations[name] += 1
+        self.running[name] = 0
+        self.ledgers[name] = self.start(name)
+
+    def use(self, name, wanted, urgent):
+        ledger = self.ledgers[name]
+        allowed = ledger.allowed(UPSTREAM, now=self.now)
+        self.running[name] = max(
+            min(self.running[name], ledger.held(UPSTREAM, now=self.now)),
+            min(wanted, allowed),
+        )
+        ledger.set_use(
+            UPSTREAM,
+            wanted=wanted,
+            running=self.running[name],
+            urgent=min(urgent, wanted),
+        )
+        ledger.rebalance(now=self.now)
+
+    def outlasting(self):
+        """Calls that were started on units which their member then lost."""
+        return sum(
+            max(0, self.running[n] - ledger.held(UPSTREAM, now=self.now))
+            for n, ledger in self.ledgers.items()
+        )
+
+    def held(self):
+        return sum(
+            ledger.held(UPSTREAM, now=self.now) for ledger in self.ledgers.values()
+        )
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["use"] * 4 + ["gossip"] * 6 + ["stale", "wait", "restart"]),
+        st.integers(0, 3),
+        st.integers(0, 15),
+        st.integers(0, CAPACITY),
+    ),
+    min_size=80,
+    max_size=160,
+)
+
+
+class CreditPropertyTests(TestCase):
+    @settings(max_examples=300, phases=(Phase.explicit, Phase.generate))
+    @given(steps)
+    def test_held_units_never_exceed_the_capacity(self, schedule):
+        cluster = Cluster(4)
+        cluster.now = 2.0
+        for action, member, one, two in schedule:
+            name = cluster.names[member]
+            if action == "use":
+                cluster.use(name, min(one, CAPACITY), two)
+            elif action == "gossip":
+                cluster.gossip(name, to=one)
+            elif action == "stale" and cluster.sent:
+                cluster.deliver(one * 7 + two, name)
+            elif action == "wait":
+                cluster.now += one / 4
+            elif action == "restart":
+                cluster.restart(name)
+            held = cluster.held()
+            assert held <= CAPACITY, f"{held} held after {action}"
+            running = sum(cluster.running.values())
+            late = cluster.outlasting()
+            assert running <= CAPACITY + late, f"{running} running after {action}"
+
+    def test_owners_are_balanced_and_stable(self):
+        names = [f"m{i}" for i in range(8)]
+        before = owners_of("u", 16, names)
+        after = owners_of("u", 16, names[:-1])
+        counts = {before.count(n) for n in names}
+        moved = sum(a != b for a, b in zip(before, after, strict=True))
+        self.assertEqual({2}, counts)
+        self.assertThat(moved, LessThan(10))
+
+
+class LendingTests(TestCase):
+    def exchange(self, cluster, rounds, demands):
+        for _ in range(rounds):
+            cluster.now += 0.1
+            for name in cluster.names:
+                cluster.use(name, *demands(name))
+                cluster.publish(name)
+            for index, _ in enumerate(cluster.names):
+                for name in cluster.names:
+                    cluster.deliver(-1 - index, name)
+
+    def test_busy_member_gets_an_idle_fleet_within_a_second(self):
+        cluster = Cluster(4)
+        cluster.now = 2.0
+
+        def demands(name):
+            return (CAPACITY, 0) if name == "m0" else (0, 0)
+
+        self.exchange(cluster, 10, demands)
+        held = cluster.ledgers["m0"].held(UPSTREAM, now=cluster.now)
+        self.assertThat(held, Equals(CAPACITY))
+
+    def test_owner_gets_its_units_back(self):
+        cluster = Cluster(4)
+        cluster.now = 2.0
+        self.exchange(cluster, 10, lambda n: (CAPACITY if n == "m0" else 0, 0))
+        cluster.running["m0"] = 0
+        self.exchange(cluster, 30, lambda n: (CAPACITY if n == "m1" else 0, 0))
+        held = cluster.ledgers["m1"].held(UPSTREAM, now=cluster.now)
+        self.assertThat(held, GreaterThan(CAPACITY - 1))
+
+    def test_urgent_work_frees_units_that_give_way(self):
+        cluster = Cluster(4)
+        cluster.now = 2.0
+
+        def demands(name):
+            return (CAPACITY, CAPACITY) if name == "m0" else (CAPACITY, 0)
+
+        for _ in range(10):
+            for name in cluster.names:
+                # Work that gives way leaves when its units are promised.
+                ledger = cluster.ledgers[name]
+                allowed = ledger.allowed(UPSTREAM, now=cluster.now)
+                cluster.running[name] = min(cluster.running[name], allowed)
+            self.exchange(cluster, 1, demands)
+        held = cluster.ledgers["m0"].held(UPSTREAM, now=cluster.now)
+        self.assertThat(held, Equals(CAPACITY))
+
+    def test_random_delays_end_in_full_use(self):
+        rng = random.Random(7)
+        cluster = Cluster(4)
+        cluster.now = 2.0
+        for _ in range(400):
+            cluster.now += 0.05
+            name = rng.choice(cluster.names)
+            cluster.use(name, CAPACITY if name in ("m0", "m1") else 0, 0)
+            cluster.publish(name)
+            for to in cluster.names:
+                if rng.random() < 0.7:
+                    cluster.deliver(-1 - rng.randrange(min(6, len(cluster.sent))), to)
+        busy = sum(
+            cluster.ledgers[n].held(UPSTREAM, now=cluster.now) for n in ("m0", "m1")
+        )
+        self.assertThat(busy, GreaterThan(CAPACITY - 3))
