--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -22,8 +22,9 @@
 
 CREDITS_TOPIC = "credits"
 CRASHES_TOPIC = "crashes"
+SLOW_TOPIC = "slow"
 TICK_S = 0.1
-MIN_TICK_S = 0.02
+MIN_TICK_S = 0.03
 
 _rows = msgspec.msgpack.Decoder(CreditRow)
 
@@ -36,7 +37,15 @@
     age_s: Seconds
 
 
+class _WireSlow(msgspec.Struct, frozen=True, array_like=True):
+    """A fresh verdict that an upstream is slow."""
+
+    pool: str
+    upstream: str
+
+
 _crashes = msgspec.msgpack.Decoder(list[_WireCrash])
+_slow = msgspec.msgpack.Decoder(_WireSlow)
 
 
 class SharingController:
@@ -81,6 +90,9 @@
                     at_s = now - crash.age_s
                     report = CrashReport(crash.fingerprint, crash.upstream, at_s)
                     self._pools.poison.crashed(report)
+            elif row.topic == SLOW_TOPIC:
+                verdict = _slow.decode(row.payload)
+                self._pools.hear_slow(verdict.pool, verdict.upstream)
         if wanted_urgently:
             self.tick_soon()
 
@@ -96,6 +108,12 @@
         self._gossip.publish(CRASHES_TOPIC, payload, now=now)
         self._on_news()
 
+    def judged_slow(self, pool: str, upstream: str) -> None:
+        """Spread a verdict of this router."""
+        payload = msgspec.msgpack.encode(_WireSlow(pool, upstream))
+        self._gossip.publish(SLOW_TOPIC, payload, now=self._clock())
+        self._on_news()
+
     async def run(self) -> None:
         """Rebalance and publish, until cancelled."""
         while True:
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -134,6 +134,7 @@
         clock: Clock,
         on_crash: Callable[[CrashReport], None] = lambda report: None,
         on_urgent: Callable[[], None] = lambda: None,
+        on_slow: Callable[[str, str], None] = lambda pool, upstream: None,
     ):
         self.poison = PoisonBook()
         self._board = board
@@ -141,6 +142,7 @@
         self._clock = clock
         self._on_crash = on_crash
         self._on_urgent = on_urgent
+        self._on_slow = on_slow
         self._runners: dict[str, PoolRunner] = {}
         for section in (ConfigSection, HostsSection, CreditsSection):
             board.on_change(section, lambda _: self.refresh())
@@ -187,6 +189,9 @@
                 for report in runner.scheduler.crash_reports:
                     self._on_crash(report)
                 runner.scheduler.crash_reports.clear()
+                for upstream in runner.scheduler.health.news:
+                    self._on_slow(runner.pool.name, upstream)
+                runner.scheduler.health.news.clear()
             self.poison.expire(self._clock())
 
     def wanted(self, now: Seconds) -> dict[str, Want]:
@@ -196,6 +201,12 @@
             wants |= pool_wants(runner.pool.name, runner.scheduler, now)
         return wants
 
+    def hear_slow(self, pool: str, upstream: str) -> None:
+        """Take over a peer's verdict that an upstream is slow."""
+        runner = self._runners.get(pool)
+        if runner is not None:
+            runner.scheduler.health.hear_slow(upstream, self._clock())
+
     def address_of(self, upstream: str) -> str:
         """Return the ``host:port`` of an upstream."""
         host = self._board.get(HostsSection).find(upstream)
--- a/shallotpoint/policy/health.py
+++ b/shallotpoint/policy/health.py
@@ -22,7 +22,7 @@
 FIRST_EJECT_S = 1.0
 LONGEST_EJECT_S = 16.0
 FIRST_DOWN_S = 0.5
-LONGEST_DOWN_S = 8.0
+LONGEST_DOWN_S = 2.5
 RAMP_S = 5.0  # time in which a restored upstream regains its full weight
 MAX_EJECTED_PART = 0.4
 JUDGE_EVERY_S = 0.02
@@ -76,12 +76,19 @@
 
 
 class HealthBook:
-    """Verdicts on all upstreams of one pool."""
+    """Verdicts on all upstreams of one pool.
+
+    Attributes
+    ----------
+    news : list of str
+        Upstreams judged slow here since the owner last cleared it.
+    """
 
     def __init__(self, *, max_ejected_part: float = MAX_EJECTED_PART):
         self._book: dict[str, UpstreamHealth] = {}
         self._max_ejected_part = max_ejected_part
         self._judged_s: Seconds = -1.0
+        self.news: list[str] = []
 
     def __getitem__(self, upstream: str) -> UpstreamHealth:
         return self._book[upstream]
@@ -145,11 +152,18 @@
         if health is not None:
             health.observe_tbt(tbt_s)
 
-    def probe_abandoned(self, upstream: str) -> None:
-        """Note that the trial ended without a verdict."""
+    def probe_abandoned(self, upstream: str, waited_s: Seconds, now: Seconds) -> None:
+        """Note that a request ended without an answer after some time.
+
+        A probe that had waited too long already counts as a slow answer.
+        """
         health = self._book.get(upstream)
-        if health is not None:
-            health.probing = False
+        if health is None or not health.probing:
+            return
+        median_s = max(self.median_ttft_s(), MIN_TTFT_S)
+        if waited_s > CLEAR_RATIO * median_s:
+            self._judge_probe(health, waited_s, now)
+        health.probing = False
 
     def set_overdue(self, upstream: str, overdue_s: Seconds) -> None:
         """Note how long the oldest request has waited for its first token."""
@@ -179,8 +193,17 @@
                 term_s = min(health.term_s * 2, LONGEST_EJECT_S)
             _eject(health, Verdict.SLOW, term_s, now)
             ejected.append(name)
+        self.news += ejected
         return ejected
 
+    def hear_slow(self, upstream: str, now: Seconds) -> None:
+        """Take over a peer's fresh verdict; a probe of our own ends it."""
+        health = self._book.get(upstream)
+        if health is None or health.verdict is not Verdict.GOOD:
+            return
+        if self._may_eject_one_more():
+            _eject(health, Verdict.SLOW, FIRST_EJECT_S, now)
+
     def _may_eject_one_more(self) -> bool:
         ejected = sum(1 for h in self._book.values() if h.verdict is not Verdict.GOOD)
         allowed = max(1, int(len(self._book) * self._max_ejected_part))
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -32,6 +32,8 @@
 from shallotpoint.types import Seconds
 
 PREPAID_TOKENS = 16  # charged when sent, so that one organisation is not sent all
+PATIENT_TTFT_S = 5.0  # classes with a later target are used for probes first
+PROBE_ANYWAY_S = 5.0  # a probe that is overdue by this may use other work
 SUSPECT_CLEAR_S = 5.0  # a suspect that streams this long is cleared
 
 
@@ -133,7 +135,7 @@
         return max(running + self.waiting_count, recent)
 
     def urgent_waiting(self, now: Seconds) -> int:
-        """Return the waiting requests for which others should make room."""
+        """Return the waiting requests that would preempt if they could."""
         return rescue.urgent_waiting(self._state, now)
 
     def firm_running(self, upstream: str) -> int:
@@ -358,12 +360,23 @@
         due = [name for name in free if self.health.wants_probe(name, now)]
         if not due:
             return None
-        nothing_else = not any(self._state.is_usable(name) for name in free)
-        if ticket.service_class.protected and not nothing_else:
+        all_ejected = not any(self._state.is_usable(n) for n in self.upstreams)
+        if not all_ejected and not self._may_probe(ticket, due[0], now):
             return None
         self.health.start_probe(due[0])
         return due[0]
 
+    def _may_probe(self, ticket: Ticket, upstream: str, now: Seconds) -> bool:
+        """Keep probes away from work that a slow answer would hurt."""
+        cls = ticket.service_class
+        if cls.protected:
+            return False
+        if not self._state.tuning.patient_probes:
+            return True
+        if cls.ttft_s is None or cls.ttft_s >= PATIENT_TTFT_S:
+            return True
+        return now >= self.health[upstream].until_s + PROBE_ANYWAY_S
+
     def _suits_suspect(self, course: Course, name: str) -> bool:
         """Keep suspects apart, so that a second crash names one of them."""
         if not course.suspect:
@@ -529,7 +542,7 @@
         if slots.suspect == ticket.id:
             slots.suspect = None
         if leg.waiting:
-            self.health.probe_abandoned(upstream)
+            self.health.probe_abandoned(upstream, now - leg.sent_s, now)
         name = ticket.service_class.name
         self._state.running[name] -= 1
         self._state.demand[name].depart(now, now - leg.sent_s)
--- a/shallotpoint/policy/tuning.py
+++ b/shallotpoint/policy/tuning.py
@@ -37,6 +37,8 @@
         Part of the longest wait that an estimate may take up.
     health : bool
         Eject upstreams that are slow or down.
+    patient_probes : bool
+        Try ejected upstreams out with patient work first.
     """
 
     reserve: bool = True
@@ -51,3 +53,4 @@
     early_refusal: bool = True
     refusal_margin: float = 0.9
     health: bool = True
+    patient_probes: bool = True
--- /dev/null
+++ b/shallotpoint/tests/test_health.py
@@ -0,0 +1,68 @@
+from testtools.matchers import Equals
+
+from shallotpoint.policy.health import FIRST_EJECT_S, HealthBook, Verdict
+from shallotpoint.testing.cases import TestCase
+
+NAMES = ("a", "b", "c", "d", "e")
+
+
+def measured_book(now=0.0):
+    book = HealthBook()
+    book.set_upstreams(NAMES)
+    for step in range(5):
+        for name in NAMES:
+            book.answered(name, 0.1, now + step / 10)
+    return book
+
+
+class StragglerTests(TestCase):
+    def test_overdue_first_token_counts_before_it_comes(self):
+        book = measured_book()
+        book.set_overdue("a", 0.5)
+        self.assertEqual(["a"], book.judge(now=1.0))
+        self.assertThat(book.news, Equals(["a"]))
+
+    def test_no_more_than_two_of_five_are_ejected(self):
+        book = measured_book()
+        for name in NAMES[:4]:
+            book.set_overdue(name, 5.0)
+        book.judge(now=1.0)
+        ejected = [n for n in NAMES if book[n].verdict is Verdict.SLOW]
+        self.assertEqual(2, len(ejected))
+
+    def test_good_probe_restores_with_a_small_weight(self):
+        book = measured_book()
+        book.set_overdue("a", 0.5)
+        book.judge(now=1.0)
+        self.assertFalse(book.wants_probe("a", 1.5))
+        later = 1.0 + FIRST_EJECT_S
+        self.assertTrue(book.wants_probe("a", later))
+        book.start_probe("a")
+        self.assertFalse(book.wants_probe("a", later))
+        book.answered("a", 0.1, later + 0.1)
+        self.assertIs(Verdict.GOOD, book["a"].verdict)
+        self.assertThat(round(book["a"].weight(later + 0.1), 2), Equals(0.2))
+
+    def test_probe_that_a_hedge_overtook_counts_as_slow(self):
+        """A probe ended by a faster second upstream must not free the next one."""
+        book = measured_book()
+        book.set_overdue("a", 0.5)
+        book.judge(now=1.0)
+        book.start_probe("a")
+        book.probe_abandoned("a", waited_s=0.6, now=2.7)
+        self.assertFalse(book.wants_probe("a", 2.8))
+        self.assertTrue(book.wants_probe("a", 2.7 + 2 * FIRST_EJECT_S))
+
+    def test_probe_cancelled_early_says_nothing(self):
+        book = measured_book()
+        book.failed("a", now=1.0)
+        book.start_probe("a")
+        book.probe_abandoned("a", waited_s=0.01, now=2.0)
+        self.assertTrue(book.wants_probe("a", 2.0))
+
+    def test_peer_verdict_ejects_within_the_bound(self):
+        book = measured_book()
+        for name in NAMES[:3]:
+            book.hear_slow(name, now=1.0)
+        ejected = [n for n in NAMES if book[n].verdict is Verdict.SLOW]
+        self.assertEqual(["a", "b"], ejected)
--- /dev/null
+++ b/shallotpoint/tests/test_scheduler.py
@@ -0,0 +1,245 @@
+"""Focused tests of the policy's promises; each drives the real scheduler."""
+
+import random
+import zlib
+
+from hypothesis import given, strategies as st
+from testtools.matchers import LessThan
+
+from shallotpoint.policy.actions import Admitted, Expire, Refused, Send, Withdraw
+from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.state import Slots
+from shallotpoint.policy.ticket import Ticket
+from shallotpoint.results import Result
+from shallotpoint.testing.cases import TestCase
+
+COUNTER = ServiceClass("counter", tier=1, ttft_s=1.0, share=0.2)
+FITTING = ServiceClass("fitting", tier=2, ttft_s=30.0, protected=True, share=0.2)
+OVERNIGHT = ServiceClass("overnight", tier=4, deadline_s=28_800.0, share=0.1)
+CLASSES = {c.name: c for c in (COUNTER, FITTING, OVERNIGHT)}
+
+
+def scheduler(upstreams=2, credits=2):
+    made = Scheduler()
+    made.set_classes(CLASSES)
+    names = [f"e{i}" for i in range(upstreams)]
+    made.set_upstreams({n: Slots(credits, credits) for n in names})
+    return made
+
+
+def ticket(name, cls, org="school", at=0.0, **kwargs):
+    facts = {"fingerprint": zlib.crc32(name.encode()) | 1, "resumable": True, **kwargs}
+    return Ticket(name, cls, org, at, **facts)
+
+
+def sends(actions):
+    return {a.ticket.id: a.upstream for a in actions if isinstance(a, Send)}
+
+
+class PreemptionTests(TestCase):
+    def fill(self, cls, count=4):
+        made = scheduler()
+        for index in range(count):
+            made.offer(ticket(f"w{index}", cls), 0.0)
+        self.assertEqual(count, len(sends(made.poll(0.0))))
+        return made
+
+    def test_counter_takes_an_overnight_slot_at_once(self):
+        made = self.fill(OVERNIGHT)
+        made.offer(ticket("c", COUNTER, at=1.0), 1.0)
+        actions = made.poll(1.0)
+        [withdrawn] = [a for a in actions if isinstance(a, Withdraw)]
+        self.assertTrue(withdrawn.requeued)
+        self.assertIs(Result.RETRY_PREEMPTED, withdrawn.reason)
+        self.assertIn("c", sends(actions))
+
+    def test_protected_work_is_never_preempted(self):
+        made = self.fill(FITTING)
+        made.offer(ticket("c", COUNTER, at=1.0), 1.0)
+        for step in range(50):
+            actions = made.poll(1.0 + step / 50)
+            self.assertEqual([], [a for a in actions if isinstance(a, Withdraw)])
+
+    def test_a_slot_promised_elsewhere_is_freed(self):
+        made = self.fill(OVERNIGHT)
+        made.set_credits("e0", 1)
+        withdrawn = [a for a in made.poll(1.0) if isinstance(a, Withdraw)]
+        self.assertEqual(["e0"], [a.upstream for a in withdrawn])
+
+    def test_overnight_is_served_during_a_counter_rush(self):
+        made = scheduler()
+        made.offer(ticket("o", OVERNIGHT), 0.0)
+        started = None
+        now, number = 0.0, 0
+        running = {}
+        while now < 30.0 and started is None:
+            number += 1
+            made.offer(ticket(f"c{number}", COUNTER, at=now), now)
+            running |= sends(made.poll(now))
+            if "o" in running:
+                started = now
+            for name, upstream in list(running.items()):
+                if name.startswith("c") and number - int(name[1:]) >= 4:
+                    made.finished(name, upstream, now)
+                    del running[name]
+            now += 0.1
+        self.assertIsNotNone(started)
+
+
+class RefusalTests(TestCase):
+    def test_a_wait_over_the_target_is_refused_early(self):
+        made = scheduler(upstreams=1, credits=1)
+        made.offer(ticket("f", FITTING), 0.0)
+        made.poll(0.0)
+        for index in range(6):
+            made.offer(ticket(f"c{index}", COUNTER, at=index / 10), index / 10)
+        expired = [a for a in made.poll(2.0) if isinstance(a, Expire)]
+        self.assertEqual({Result.WAIT_EXPIRED}, {a.result for a in expired})
+
+    def test_protected_work_waits_without_limit(self):
+        made = scheduler(upstreams=1, credits=1)
+        for index in range(5):
+            made.offer(ticket(f"f{index}", FITTING), 0.0)
+        made.poll(0.0)
+        actions = made.poll(10_000.0)
+        self.assertEqual([], [a for a in actions if isinstance(a, Expire)])
+
+    def test_no_upstream_is_said_at_once(self):
+        made = scheduler(upstreams=0)
+        refused = made.offer(ticket("c", COUNTER), 0.0)
+        self.assertIs(Result.NO_UPSTREAM, refused.result)
+
+    def test_queue_is_bounded(self):
+        tiny = ServiceClass("counter", tier=1, max_queued=2)
+        made = scheduler(credits=0)
+        results = [made.offer(ticket(f"c{i}", tiny), 0.0) for i in range(3)]
+        self.assertIsInstance(results[1], Admitted)
+        self.assertIs(Result.QUEUE_FULL, results[2].result)
+
+
+class PoisonTests(TestCase):
+    def test_second_crash_blocks_the_request_but_not_its_neighbours(self):
+        made = scheduler(upstreams=4, credits=2)
+        for name in ("poison", "n1", "n2", "n3"):
+            made.offer(ticket(name, FITTING), 0.0)
+        running = sends(made.poll(0.0))
+        verdicts = {}
+        now = 0.0
+        for _ in range(3):
+            now += 5.0
+            crashed = running.pop("poison", None)
+            if crashed is None:
+                break
+            victims = [n for n, u in running.items() if u == crashed]
+            for name in ["poison", *victims]:
+                verdicts[name] = made.failed(name, crashed, Result.RETRY_BROKE, now)
+                running.pop(name, None)
+            now += 3.0
+            running |= sends(made.poll(now))
+        self.assertIs(Result.POISON, verdicts["poison"])
+        blamed = [n for n, v in verdicts.items() if v is Result.POISON]
+        self.assertEqual(["poison"], blamed)
+        again = made.offer(ticket("poison", FITTING, at=now), now)
+        self.assertIsInstance(again, Refused)
+
+
+class RetryTests(TestCase):
+    def test_non_idempotent_call_is_not_sent_twice(self):
+        made = scheduler()
+        made.offer(ticket("d", FITTING, idempotent=False), 0.0)
+        [(name, upstream)] = sends(made.poll(0.0)).items()
+        verdict = made.failed(name, upstream, Result.RETRY_BROKE, 0.1)
+        self.assertIs(Result.UPSTREAM_BROKE, verdict)
+        self.assertEqual({}, sends(made.poll(0.2)))
+
+    def test_refused_non_idempotent_call_tries_another(self):
+        made = scheduler()
+        made.offer(ticket("d", FITTING, idempotent=False), 0.0)
+        [(name, first)] = sends(made.poll(0.0)).items()
+        self.assertIsNone(made.failed(name, first, Result.RETRY_REFUSED, 0.1))
+        self.assertNotEqual(first, sends(made.poll(0.2))["d"])
+
+    def test_budget_bounds_retries_of_a_crowd(self):
+        made = scheduler(upstreams=2, credits=50)
+        attempts = 0
+        for index in range(200):
+            now = index / 100
+            made.offer(ticket(f"c{index}", COUNTER, at=now), now)
+            for name, upstream in sends(made.poll(now)).items():
+                attempts += 1
+                made.failed(name, upstream, Result.RETRY_REFUSED, now)
+        self.assertThat(attempts, LessThan(240))
+
+
+class FairnessTests(TestCase):
+    def test_small_organisation_is_not_crowded_out(self):
+        made = scheduler(upstreams=1, credits=1)
+        for index in range(50):
+            made.offer(ticket(f"b{index}", FITTING, org="big"), 0.0)
+        made.offer(ticket("s", FITTING, org="small", at=0.1), 0.1)
+        order = []
+        now = 0.1
+        while len(order) < 3:
+            for name, upstream in sends(made.poll(now)).items():
+                order.append(name)
+                made.progress(name, upstream, 50, now)
+                made.finished(name, upstream, now + 0.5)
+            now += 1.0
+        self.assertIn("s", order)
+
+
+class AnyScheduleTests(TestCase):
+    @given(st.integers(0, 10_000))
+    def test_no_request_is_lost_and_no_slot_leaks(self, seed):
+        rng = random.Random(seed)
+        made = scheduler(upstreams=3, credits=2)
+        running, ended = {}, set()
+        offered = 0
+        now = 0.0
+        for _ in range(120):
+            now += rng.random() / 5
+            if rng.random() < 0.6:
+                cls = rng.choice([COUNTER, FITTING, OVERNIGHT])
+                name = f"t{offered}"
+                offered += 1
+                if isinstance(made.offer(ticket(name, cls, at=now), now), Refused):
+                    ended.add(name)
+            for action in made.poll(now):
+                name = action.ticket.id
+                if isinstance(action, Send):
+                    running.setdefault(name, set()).add(action.upstream)
+                elif isinstance(action, Withdraw):
+                    running[name].discard(action.upstream)
+                else:
+                    ended.add(name)
+            self.step(made, rng, running, ended, now)
+            for slots in made.upstreams.values():
+                assert len(slots.running) <= slots.total
+        alive = {n for n in made.courses}
+        assert alive.isdisjoint(ended)
+        assert len(alive) + len(ended) == offered
+
+    def step(self, made, rng, running, ended, now):
+        busy = [(n, u) for n, us in running.items() for u in us]
+        if not busy or rng.random() < 0.3:
+            return
+        name, upstream = rng.choice(sorted(busy))
+        what = rng.choice(["token", "token", "finish", "fail", "gone"])
+        if what == "token":
+            for action in made.progress(name, upstream, 3, now):
+                running[name].discard(action.upstream)
+        elif what == "finish":
+            made.finished(name, upstream, now)
+            running.pop(name)
+            ended.add(name)
+        elif what == "fail":
+            running[name].discard(upstream)
+            reason = rng.choice([Result.RETRY_CONNECT, Result.RETRY_BROKE])
+            if made.failed(name, upstream, reason, now) is not None:
+                running.pop(name)
+                ended.add(name)
+        else:
+            made.abandon(name, now)
+            running.pop(name)
+            ended.add(name)
