--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -24,7 +24,7 @@
 
 CHAT_PATH = "/v1/chat/completions"
 PREFIX_CHARS = 256  # prompts that share this much likely share cached work
-MERGE_S = 0.0  # least time between two writes of a stream
+MERGE_S = 0.036  # least time between two writes; below the usual pace of tokens
 BLOCKED_S = 0.05  # a write that takes longer waited for the caller
 _STREAM_HEADERS = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
@@ -169,10 +169,22 @@
             if done:
                 self._note_times(upstream)
                 return
-            if MERGE_S:
-                await asyncio.sleep(MERGE_S)
+            await self._let_tokens_gather(resp)
         raise UpstreamFailure(Result.RETRY_BROKE, "the stream ended early")
 
+    async def _let_tokens_gather(self, resp: Any) -> None:
+        """Leave tokens that come fast in the kernel, for one read and one write."""
+        conn = resp.connection
+        transport = conn.transport if conn else None
+        if transport is None:
+            return
+        transport.pause_reading()
+        try:
+            await asyncio.sleep(MERGE_S)
+        finally:
+            if not transport.is_closing():
+                transport.resume_reading()
+
     async def _write_events(self, events: bytes, *, last: bool) -> None:
         try:
             if not self.exchange.started:
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -142,14 +142,16 @@
         if isinstance(admission, Refused):
             raise RequestError(admission.result, retry_after_s=admission.retry_after_s)
         gone = asyncio.create_task(self.exchange.wait_disconnect())
+        gone.add_done_callback(self._caller_gone)
         try:
-            await asyncio.wait({gone, self._done}, return_when=asyncio.FIRST_COMPLETED)
-            if not self._done.done() and self.cancels_with_caller:
-                raise CallerGone
             await self._done
         finally:
             gone.cancel()
 
+    def _caller_gone(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and self.cancels_with_caller:
+            self._settle(CallerGone())
+
     async def _leg_task(self, upstream: str, address: str) -> None:
         try:
             await self.leg(upstream, address)
--- a/shallotpoint/cli.py
+++ b/shallotpoint/cli.py
@@ -73,6 +73,9 @@
     parser.add_argument("--models", default="standin", help="engine: names")
     parser.add_argument("--slots", type=int, default=8, help="engine: batch size")
     parser.add_argument("--token-ms", type=float, default=10.0, help="engine: pace")
+    parser.add_argument(
+        "--flat", action="store_true", help="engine: the batch costs no time"
+    )
     parser.add_argument(
         "--ignore-fence", action="store_true", help="engine: take any order"
     )
--- /dev/null
+++ b/shallotpoint/controllers/orders.py
@@ -0,0 +1,180 @@
+"""Carries out orders to engines, from one router at a time.
+
+The router that holds the lease compares what operators want with each engine's
+own state and repeats an order until the state shows it.  Engines that check
+fencing numbers refuse a late order of an earlier holder.  For those that do
+not, an order is sent only if it will have ended within the lease, and a new
+holder first waits as long as the latest order of its predecessor may take.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from shallotpoint.blackboard import Blackboard
+from shallotpoint.controllers.pools import PoolsController
+from shallotpoint.controllers.sections import ConfigSection
+from shallotpoint.coordination.kv import KeyValueError
+from shallotpoint.coordination.lease import LeaseHolder, LeaseLost
+from shallotpoint.policy.configuration import UpstreamOrder
+from shallotpoint.types import Clock, JSONObject, Seconds
+from shallotpoint.upstreams.client import UpstreamClient, UpstreamFailure
+
+ORDER_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 1.0
+EVERY_S = 1.0
+LOADS_PER_MINUTE = 30  # the weight store's limit for the whole fleet
+PATH = "/orders"
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class OrderState:
+    """How far one order is.
+
+    Attributes
+    ----------
+    status : str
+        ``waiting``, ``sent``, ``done`` or ``refused``.
+    """
+
+    order: UpstreamOrder
+    status: str = "waiting"
+    tries: int = 0
+    fence: int = 0
+
+
+def is_done(order: UpstreamOrder, engine: Mapping) -> bool:
+    """Return whether an engine's own state shows an order as carried out."""
+    loaded = engine.get("loaded", {})
+    if order.kind == "role":
+        return engine.get("role") == order.value
+    if order.kind == "unload":
+        return order.model not in loaded
+    return loaded.get(order.model) == (order.value or "base")
+
+
+class LoadLimit:
+    """Spaces out loads, as the weight store allows so many a minute."""
+
+    def __init__(self, per_minute: int):
+        self._gap_s = 60.0 / per_minute
+        self._next_s: Seconds = 0.0
+
+    def take(self, now: Seconds) -> bool:
+        """Return whether a load may start now."""
+        if now < self._next_s:
+            return False
+        self._next_s = now + self._gap_s
+        return True
+
+
+class OrdersController:
+    """Orders engines while this router holds the lease."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        pools: PoolsController,
+        client: UpstreamClient,
+        lease: LeaseHolder,
+        *,
+        clock: Clock,
+    ):
+        self._board = board
+        self._pools = pools
+        self._client = client
+        self._lease = lease
+        self._clock = clock
+        self._limit = LoadLimit(LOADS_PER_MINUTE)
+        self._states: dict[str, OrderState] = {}
+        self._may_order_s: Seconds = 0.0
+
+    def rows(self) -> list[JSONObject]:
+        """Return the state of all orders, if this router carries them out."""
+        if self._lease.held is None:
+            return []
+        return [
+            {
+                "name": state.order.name,
+                "upstream": state.order.upstream,
+                "kind": state.order.kind,
+                "model": state.order.model,
+                "value": state.order.value,
+                "status": state.status,
+                "tries": state.tries,
+                "fence": state.fence,
+            }
+            for state in self._states.values()
+        ]
+
+    async def run(self) -> None:
+        """Hold the lease when it is free, and order, until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except KeyValueError as exc:
+                _log.warning("orders: %s", exc)
+            await asyncio.sleep(EVERY_S)
+
+    async def step(self) -> None:
+        """Take or renew the lease, then look after each order once."""
+        orders = self._board.get(ConfigSection).config.orders
+        if not orders:
+            if self._lease.held is not None:
+                await self._lease.release()
+            return
+        if self._lease.held is not None:
+            await self._lease.renew()
+        elif await self._lease.acquire() is not None:
+            # A paused predecessor may still have an order on its way.
+            self._may_order_s = self._clock() + ORDER_TIMEOUT_S
+        if self._lease.held is None or self._clock() < self._may_order_s:
+            return
+        self._states = {
+            name: self._states.get(name) or OrderState(order)
+            for name, order in orders.items()
+        }
+        for name, order in orders.items():
+            try:
+                self._states[name] = await self._look_after(name, order)
+            except LeaseLost:
+                return
+
+    async def _look_after(self, name: str, order: UpstreamOrder) -> OrderState:
+        state = self._states[name]
+        address = self._pools.address_of(order.upstream)
+        try:
+            engine = await self._client.get_json(
+                address, PATH, timeout_s=READ_TIMEOUT_S
+            )
+        except UpstreamFailure:
+            return OrderState(order, "waiting", state.tries, state.fence)
+        if is_done(order, engine):
+            return OrderState(order, "done", state.tries, state.fence)
+        if order.kind == "load" and not self._limit.take(self._clock()):
+            return OrderState(order, "waiting", state.tries, state.fence)
+        return await self._send(address, order, state)
+
+    async def _send(
+        self, address: str, order: UpstreamOrder, state: OrderState
+    ) -> OrderState:
+        with self._lease.acting(takes_s=ORDER_TIMEOUT_S) as fence:
+            body = {
+                "kind": order.kind,
+                "model": order.model,
+                "value": order.value,
+                "fence": fence,
+            }
+            try:
+                status, _ = await self._client.post_json(
+                    address, PATH, body, timeout_s=ORDER_TIMEOUT_S
+                )
+            except UpstreamFailure:
+                return OrderState(order, "sent", state.tries + 1, fence)
+        _log.info("order sent", extra={"order": order.name, "status": status})
+        told = "refused" if status == 409 else "sent"
+        return OrderState(order, told, state.tries + 1, fence)
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -93,8 +93,10 @@
         return verdict
 
     def abandon(self, ticket_id: str) -> None:
-        """Forget a request."""
+        """Forget a request; nothing to do for one that has ended."""
         self._runners.pop(ticket_id, None)
+        if ticket_id not in self.scheduler.courses:
+            return
         self.scheduler.abandon(ticket_id, self._clock())
         self.poll()
 
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -20,11 +20,13 @@
 from shallotpoint.controllers.credits import SharingController
 from shallotpoint.controllers.hosts import HostsController
 from shallotpoint.controllers.journal import Journal
+from shallotpoint.controllers.orders import OrdersController
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.sections import HostsSection, StopSection
 from shallotpoint.coordination.config import ConfigStore
 from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board, Row
+from shallotpoint.coordination.lease import LeaseHolder
 from shallotpoint.coordination.ledger import OnceLedger
 from shallotpoint.coordination.overlay import neighbours
 from shallotpoint.coordination.peers import ConfigPort, Peers
@@ -163,6 +165,18 @@
             tls=client_context(settings.tls.upstreams),
         )
         stack.push_async_callback(self._client.close)
+        self.orders = OrdersController(
+            self.board,
+            self.pools,
+            self._client,
+            LeaseHolder(
+                kv,
+                f"{prefix}lease/orders",
+                f"{self.name}#{self._incarnation}",
+                clock=self._clock,
+            ),
+            clock=self._clock,
+        )
         self._build_desk(store)
 
     def _build_sharing(self) -> SharingController:
@@ -189,6 +203,7 @@
             name=self.name,
             data_centre=self.settings.router.data_centre,
             ready=self.ready,
+            orders=self.orders.rows,
         )
         self.desk = Desk(
             self.board,
@@ -209,6 +224,7 @@
         tasks.start("config", self.config.run())
         tasks.start("sharing", self.sharing.run())
         tasks.start("pools", self.pools.run())
+        tasks.start("orders", self.orders.run())
         tasks.start(
             "peers",
             self.peers.run(self._neighbours, every_s=self.settings.peers.gossip_s),
--- a/shallotpoint/daemons/standin.py
+++ b/shallotpoint/daemons/standin.py
@@ -39,6 +39,10 @@
     token_s = args.token_ms / 1_000
     return EngineStandin(
         models=tuple(args.models.split(",")),
-        timing=EngineTiming(slots=args.slots, token_s=token_s, batch_s=token_s / 10),
+        timing=EngineTiming(
+            slots=args.slots,
+            token_s=token_s,
+            batch_s=0.0 if args.flat else token_s / 10,
+        ),
         checks_fence=not args.ignore_fence,
     )
--- a/shallotpoint/operators/desk.py
+++ b/shallotpoint/operators/desk.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from functools import singledispatchmethod
 from typing import Any
 
@@ -39,6 +39,7 @@
 from shallotpoint.operators.tables import (
     CONFIG_TABLES,
     LocalTables,
+    merge_orders,
     merge_upstreams,
     select,
 )
@@ -118,7 +119,6 @@
         peers: Callable[[], Peers],
         *,
         name: str,
-        orders: Callable[[], list[JSONObject]] = list,
     ):
         self._board = board
         self._store = store
@@ -126,7 +126,6 @@
         self._tables = tables
         self._peers = peers
         self._name = name
-        self._orders = orders
 
     async def run(self, text: str, operator: Operator) -> Reply:
         """Carry out a line of text."""
@@ -167,12 +166,13 @@
         if command.table in CONFIG_TABLES:
             rows = self._tables.rows(command.table, last_s=None)
             return Reply(rows=select(rows, command), version=None)
-        if command.table == "orders":
-            return Reply(rows=select(self._orders(), command))
         found = await self._gather(PeerQuery(command.table, command.last_s))
         rows = found.rows
         if command.table == "upstreams":
             rows = merge_upstreams(rows)
+        elif command.table == "orders":
+            stored = self._board.get(ConfigSection).config.orders
+            rows = merge_orders([asdict(o) for o in stored.values()], rows)
         return Reply(
             rows=select(rows, command), answered=found.answered, asked=found.asked
         )
--- a/shallotpoint/operators/tables.py
+++ b/shallotpoint/operators/tables.py
@@ -47,6 +47,7 @@
         name: str,
         data_centre: str,
         ready: Callable[[], bool],
+        orders: Callable[[], list[JSONObject]],
     ):
         self._board = board
         self._pools = pools
@@ -54,6 +55,7 @@
         self._name = name
         self._data_centre = data_centre
         self._ready = ready
+        self._orders = orders
 
     def rows(self, table: str, *, last_s: Seconds | None) -> list[JSONObject]:
         """Return the rows of one table."""
@@ -68,6 +70,7 @@
             "upstreams": self._upstreams,
             "routers": self._routers,
             "version": self._routers,
+            "orders": self._orders,
         }
         return self._tagged(builders[table]())
 
@@ -167,6 +170,14 @@
         ]
 
 
+def merge_orders(
+    stored: Iterable[JSONObject], rows: Iterable[JSONObject]
+) -> list[JSONObject]:
+    """Return all stored orders with the state that their router tells."""
+    known = {row["name"]: row for row in rows}
+    return [known.get(row["name"]) or {**row, "status": "waiting"} for row in stored]
+
+
 def merge_upstreams(rows: Iterable[JSONObject]) -> list[JSONObject]:
     """Return one row per upstream from the rows of all routers."""
     merged: dict[tuple[str, str], JSONObject] = {}
--- a/shallotpoint/policy/admission.py
+++ b/shallotpoint/policy/admission.py
@@ -40,26 +40,25 @@
     return start_s + (ahead + 1) / rate if rate > 0 else start_s
 
 
-def refusal(state: PoolState, ticket: Ticket, now: Seconds) -> Refused | None:
-    """Return why a request is not queued, or None if it is."""
+def assess(state: PoolState, ticket: Ticket, now: Seconds) -> Refused | Seconds:
+    """Return why a request is not queued, or its estimated wait in seconds."""
     cls = ticket.service_class
     if state.poison.blocked(ticket.fingerprint, now):
         return Refused(Result.POISON, MAX_RETRY_AFTER_S)
     if not any(not slots.draining for slots in state.upstreams.values()):
         return Refused(Result.NO_UPSTREAM, 1.0)
+    wait_s = estimate_wait_s(state, cls, ticket.organisation, now)
     queue = state.queues.get(cls.name)
     if queue is None:
-        return None
+        return wait_s
     full = len(queue) >= cls.max_queued
     if full or queue.size_bytes + ticket.size_bytes > cls.max_queued_bytes:
-        wait_s = estimate_wait_s(state, cls, ticket.organisation, now)
         return Refused(Result.QUEUE_FULL, retry_after_s(wait_s))
     if cls.patience_s is None or not state.tuning.early_refusal:
-        return None
-    wait_s = estimate_wait_s(state, cls, ticket.organisation, now)
+        return wait_s
     if wait_s > state.tuning.refusal_margin * cls.patience_s:
         return Refused(Result.WAIT_TOO_LONG, retry_after_s(wait_s - cls.patience_s))
-    return None
+    return wait_s
 
 
 def _ahead_in_higher_tiers(state: PoolState, cls: ServiceClass) -> int:
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Mapping
 
 from shallotpoint.policy import admission, ordering, rescue
@@ -34,6 +35,7 @@
 PREPAID_TOKENS = 16  # charged when sent, so that one organisation is not sent all
 PATIENT_TTFT_S = 5.0  # classes with a later target are used for probes first
 PROBE_ANYWAY_S = 5.0  # a probe that is overdue by this may use other work
+SWEEP_S = 0.015  # least time between two looks at all that is under way
 SUSPECT_CLEAR_S = 5.0  # a suspect that streams this long is cleared
 
 
@@ -62,6 +64,8 @@
         self._state = PoolState(tuning or Tuning(), poison or PoisonBook())
         self.crash_reports: list[CrashReport] = []
         self._expiries: list[tuple[Seconds, str]] = []
+        self._swept_s: Seconds = -math.inf
+        self._credits_changed = False
 
     # Configuration
 
@@ -83,10 +87,13 @@
             gone.draining = True
         self._state.upstreams = {**slots, **kept}
         self.health.set_upstreams(self.upstreams)
+        self._credits_changed = True
 
     def set_credits(self, upstream: str, credits: int) -> None:
         """Set how many requests this router may have on an upstream."""
-        self.upstreams[upstream].credits = credits
+        slots = self.upstreams[upstream]
+        self._credits_changed |= credits < slots.credits
+        slots.credits = credits
 
     # Queries
 
@@ -155,15 +162,14 @@
         cls = ticket.service_class
         self._state.classes.setdefault(cls.name, cls)
         self._state.demand[cls.name].arrive(now)
-        refused = admission.refusal(self._state, ticket, now)
-        if isinstance(refused, Refused):
-            return refused
-        wait_s = self.estimate_wait_s(cls, ticket.organisation, now)
+        assessed = admission.assess(self._state, ticket, now)
+        if isinstance(assessed, Refused):
+            return assessed
         course = Course(ticket, queued_s=now)
         course.suspect = self._state.poison.suspected(ticket.fingerprint, now)
         self.courses[ticket.id] = course
         self._enqueue(ticket)
-        return Admitted(wait_s)
+        return Admitted(assessed)
 
     def progress(
         self, ticket_id: str, upstream: str, tokens: int, now: Seconds
@@ -254,16 +260,26 @@
 
     def poll(self, now: Seconds) -> list[Action]:
         """Return what is to be done now; call after events and on a tick."""
+        actions: list[Action] = []
+        if now - self._swept_s >= SWEEP_S:
+            self._swept_s = now
+            actions += self._sweep(now)
+        if self._credits_changed:
+            self._credits_changed = False
+            actions += self._yield(now)
+        if self.waiting_count:
+            actions += self._dispatch(now)
+            actions += self._preempt(now)
+        return actions
+
+    def _sweep(self, now: Seconds) -> list[Action]:
+        """Do what follows from the passing of time alone."""
         self._note_overdue(now)
         actions = self._expire(now)
         self._update_shares(now)
-        actions += self._yield(now)
-        actions += self._dispatch(now)
-        actions += self._preempt(now)
         for course, upstream in rescue.overdue(self._state, now):
             actions.append(self._send(course, upstream, now, hedge=True))
-        actions += self._move(now)
-        return actions
+        return actions + self._move(now)
 
     # Queues
 
@@ -408,7 +424,7 @@
     def _preempt(self, now: Seconds) -> list[Action]:
         """Free slots for requests of higher tiers that have waited too long."""
         actions: list[Action] = []
-        if self._state.tuning.preempt_after is None or not self.waiting_count:
+        if self._state.tuning.preempt_after is None:
             return actions
         for cls in ordering.class_order(self._state):
             while rescue.wants_slot(self._state, cls, now):
--- /dev/null
+++ b/shallotpoint/tests/test_orders.py
@@ -0,0 +1,48 @@
+from shallotpoint.controllers.orders import LoadLimit, is_done
+from shallotpoint.policy.configuration import UpstreamOrder
+from shallotpoint.testing.cases import TestCase, eventually
+from shallotpoint.tests.test_path import PathTestCase, operate
+
+
+class OrderRuleTests(TestCase):
+    def test_state_table(self):
+        load = UpstreamOrder("o", "e", "load", "m", "")
+        adapter = UpstreamOrder("o", "e", "load", "m", "v2")
+        unload = UpstreamOrder("o", "e", "unload", "m", "")
+        role = UpstreamOrder("o", "e", "role", "", "prefill")
+        cases = [
+            (load, {"loaded": {}}, False),
+            (load, {"loaded": {"m": "base"}}, True),
+            (adapter, {"loaded": {"m": "base"}}, False),
+            (adapter, {"loaded": {"m": "v2"}}, True),
+            (unload, {"loaded": {"m": "base"}}, False),
+            (unload, {"loaded": {}}, True),
+            (role, {"role": "serve"}, False),
+            (role, {"role": "prefill"}, True),
+        ]
+        for order, engine, wanted in cases:
+            self.assertEqual(wanted, is_done(order, engine), (order, engine))
+
+    def test_loads_are_spaced_out(self):
+        limit = LoadLimit(30)
+        taken = [limit.take(second / 2) for second in range(20)]
+        self.assertEqual(5, sum(taken))
+
+
+class OrderFleetTests(PathTestCase):
+    def test_an_order_is_repeated_until_the_engine_shows_it(self):
+        async def main(made, session):
+            reply = await operate(made, "order upstream engine-1 load=big")
+            engine = made.engines[0]
+            await eventually(lambda: "big" in engine.orders.loaded, timeout_s=12.0)
+            # The engine restarts and forgets; the order comes again.
+            engine.orders.loaded.pop("big")
+            await eventually(lambda: "big" in engine.orders.loaded, timeout_s=12.0)
+            fences = [order["fence"] for order in engine.orders.log]
+            rows = (await operate(made, "show orders", 1))["rows"]
+            return reply["status"], fences, rows
+
+        status, fences, rows = self.with_fleet(main)
+        self.assertEqual("order_pending", status)
+        self.assertEqual(sorted(fences), fences)
+        self.assertEqual(["engine-1"], [row["upstream"] for row in rows])
