--- a/shallotpoint/bench/cli.py
+++ b/shallotpoint/bench/cli.py
@@ -31,7 +31,7 @@
 
 def run(args: argparse.Namespace) -> int:
     """Run one measurement or all of them."""
-    from shallotpoint.bench import policy_bench, relay, targets  # noqa: F401
+    from shallotpoint.bench import fleet, policy_bench, relay, targets  # noqa: F401
 
     for name, bench in BENCHES.items():
         if args.name in (name, "all"):
--- a/shallotpoint/bench/policy_bench.py
+++ b/shallotpoint/bench/policy_bench.py
@@ -88,7 +88,7 @@
     return figures(world.run())
 
 
-def run_cases(cases: list[Case], *, processes: int = 5) -> list[dict[str, float]]:
+def run_cases(cases: list[Case], *, processes: int = 6) -> list[dict[str, float]]:
     """Make runs side by side."""
     with ProcessPoolExecutor(processes) as pool:
         return list(pool.map(run_case, cases))
--- a/shallotpoint/coordination/peers.py
+++ b/shallotpoint/coordination/peers.py
@@ -16,6 +16,7 @@
 
 from shallotpoint.coordination.config import ConfigState, Section
 from shallotpoint.coordination.gossip import Board, Digest, Row
+from shallotpoint.coordination.overlay import FULL_MESH_UP_TO
 from shallotpoint.coordination.transport import Transport, TransportError
 from shallotpoint.hashing import hash64
 from shallotpoint.types import Clock, Seconds
@@ -240,10 +241,23 @@
             PROTOCOL_VERSION,
             self.board.name,
             self.board.digest(),
-            tuple(self.board.delta(known)) if known else (),
+            self._rows_to_push(known),
             config_hash(self._config.state()),
         )
 
+    def _rows_to_push(self, known: Digest) -> tuple[Row, ...]:
+        """Return rows for a member whose digest may be out of date.
+
+        In a full mesh every member tells its own rows to all, so that passing on
+        the rows of others would only repeat them.
+        """
+        if not known:
+            return ()
+        rows = self.board.delta(known)
+        if len(self.board.members()) <= FULL_MESH_UP_TO:
+            rows = [row for row in rows if row.origin == self.board.name]
+        return tuple(rows)
+
     async def _reconcile(self, address: str, theirs: Mapping[str, int]) -> None:
         state = self._config.state()
         message = Exchange(
--- a/shallotpoint/loop.py
+++ b/shallotpoint/loop.py
@@ -7,7 +7,7 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-# Must be set before the loop library is loaded.
+# Read when the first loop is made; from 0.23 on uvloop ignores it, hence the pin.
 os.environ["UV_USE_IO_URING"] = "0"
 
 import uvloop  # noqa: E402
--- a/shallotpoint/policy/ordering.py
+++ b/shallotpoint/policy/ordering.py
@@ -23,14 +23,19 @@
 
 
 def has_room(
-    state: PoolState, cls: ServiceClass, now: Seconds, *, gives_way: bool = False
+    state: PoolState,
+    cls: ServiceClass,
+    now: Seconds,
+    *,
+    free: int | None = None,
+    gives_way: bool = False,
 ) -> bool:
     """Return whether a class may take one of the free slots.
 
     Work that gives way leaves again when others need the slot, so that only
     the demand of this moment is kept free of it.
     """
-    free = state.free_slots
+    free = state.free_slots if free is None else free
     if free <= 0:
         return False
     if gives_way and state.tuning.fill_with_preemptible:
@@ -51,7 +56,7 @@
             wanted = demand.slots_wanted(now, momentary=momentary)
             wanted -= state.running[name]
             kept += max(0.0, wanted)
-    return min(int(kept), _most_reserved(state, cls))
+    return min(int(kept), _most_reserved(state, cls)) if kept >= 1.0 else 0
 
 
 def _most_reserved(state: PoolState, cls: ServiceClass) -> int:
@@ -69,5 +74,7 @@
         for name, other in state.classes.items()
         if other.tier < cls.tier and state.demand[name].active(now)
     )
+    if not others:
+        return True
     cap = max(1.0, state.total_slots * (1.0 - others))
     return state.running[cls.name] < cap
--- a/shallotpoint/policy/queueing.py
+++ b/shallotpoint/policy/queueing.py
@@ -46,6 +46,7 @@
         self._order: list[tuple[Tokens, int, str]] = []
         self._tickets: dict[str, Ticket] = {}
         self._level: Tokens = 0.0
+        self._active = 0
         self._count = 0
         self._size_bytes = 0
 
@@ -67,14 +68,15 @@
         """Return how many requests are served before a new one, at the least.
 
         Those of the same organisation, each with one of every other that waits,
-        and one of each that has been served less.
+        and one of each other if its own organisation has been served more.
         """
         account = self._accounts.get(organisation)
         backlog = account.waiting if account else 0
-        served = max(account.served if account else 0.0, self._level)
-        waiting = [a for a in self._accounts.values() if a.waiting and a is not account]
-        less = sum(1 for a in waiting if a.served < served)
-        return min(len(self._tickets), backlog * (len(waiting) + 1) + less)
+        others = self._active - (1 if backlog else 0)
+        # One that is not ahead of the common level is served next.
+        ahead = account is not None and account.served > self._level
+        less = others if ahead else 0
+        return min(len(self._tickets), backlog * (others + 1) + less)
 
     def push(self, ticket: Ticket) -> None:
         """Queue a request."""
@@ -84,6 +86,7 @@
             account.served = max(account.served, self._level)
         self._count += 1
         heapq.heappush(account.heap, (ticket.due_s, self._count, ticket.id))
+        self._active += account.waiting == 0
         account.waiting += 1
         self._list_account(ticket.organisation, account)
         self._tickets[ticket.id] = ticket
@@ -127,7 +130,9 @@
 
     def _forget(self, ticket_id: str) -> Ticket:
         ticket = self._tickets.pop(ticket_id)
-        self._accounts[ticket.organisation].waiting -= 1
+        account = self._accounts[ticket.organisation]
+        account.waiting -= 1
+        self._active -= account.waiting == 0
         self._size_bytes -= ticket.size_bytes
         return ticket
 
--- a/shallotpoint/policy/rescue.py
+++ b/shallotpoint/policy/rescue.py
@@ -51,12 +51,21 @@
     return count
 
 
-def _giving_way(state: PoolState, cls: ServiceClass) -> Iterator[Course]:
-    lower = {
+def has_victims(state: PoolState, cls: ServiceClass) -> bool:
+    """Return whether any lower tier runs work that may be preempted."""
+    return bool(_lower_running(state, cls))
+
+
+def _lower_running(state: PoolState, cls: ServiceClass) -> set[str]:
+    return {
         name
         for name, other in state.classes.items()
         if other.tier > cls.tier and state.running[name] and not other.protected
     }
+
+
+def _giving_way(state: PoolState, cls: ServiceClass) -> Iterator[Course]:
+    lower = _lower_running(state, cls)
     if not lower:
         return
     for slots in state.upstreams.values():
@@ -123,7 +132,9 @@
 
 def overdue(state: PoolState, now: Seconds) -> Iterator[tuple[Course, str]]:
     """Yield requests with an overdue first token, and a second upstream for each."""
-    if state.tuning.hedge_ratio is None:
+    if state.tuning.hedge_ratio is None or not state.starting:
+        return
+    if not state.free_slots:
         return
     median_s = state.health.median_ttft_s()
     limit_s = max(state.tuning.hedge_min_s, state.tuning.hedge_ratio * median_s)
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -329,16 +329,21 @@
 
     def _dispatch_one(self, now: Seconds) -> Send | None:
         state = self._state
-        free = [name for name, slots in self.upstreams.items() if slots.free]
+        free = state.open_upstreams()
         if not free:
             return None
+        open_slots = sum(
+            self.upstreams[name].free for name in free if state.is_usable(name)
+        )
         for cls in ordering.class_order(state):
             ticket = state.queues[cls.name].peek()
             if ticket is None:
                 continue
-            if not state.is_owed(cls.name) and state.free_slots:
+            if not state.is_owed(cls.name) and open_slots:
                 gives_way = rescue.gives_way(self.courses[ticket.id])
-                if not ordering.has_room(state, cls, now, gives_way=gives_way):
+                if not ordering.has_room(
+                    state, cls, now, free=open_slots, gives_way=gives_way
+                ):
                     continue
             upstream = self._choose_upstream(self.courses[ticket.id], free, now)
             if upstream is None:
@@ -427,6 +432,8 @@
         if self._state.tuning.preempt_after is None:
             return actions
         for cls in ordering.class_order(self._state):
+            if not rescue.has_victims(self._state, cls):
+                continue
             while rescue.wants_slot(self._state, cls, now):
                 if self._state.free_slots:
                     break
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -93,7 +93,19 @@
     @property
     def free_slots(self) -> int:
         """Slots that ordinary work could take now."""
-        return sum(s.free for n, s in self.upstreams.items() if self.is_usable(n))
+        return sum(
+            self.upstreams[name].free
+            for name in self.open_upstreams()
+            if self.is_usable(name)
+        )
+
+    def open_upstreams(self) -> list[str]:
+        """Return the upstreams on which this router has a slot left."""
+        return [
+            name
+            for name, slots in self.upstreams.items()
+            if slots.credits > len(slots.running) and not slots.draining
+        ]
 
     def is_usable(self, upstream: str) -> bool:
         """Return whether an upstream may take ordinary work."""
--- /dev/null
+++ b/shallotpoint/tests/test_gossip.py
@@ -0,0 +1,170 @@
+"""Rows converge over any order; the overlay is sparse and connected."""
+
+import asyncio
+import math
+import random
+
+from hypothesis import given, strategies as st
+from testtools.matchers import LessThan
+
+from shallotpoint.coordination.config import ConfigState, Section
+from shallotpoint.coordination.gossip import Board
+from shallotpoint.coordination.overlay import cells, neighbours, rank, subset
+from shallotpoint.coordination.peers import ConfigPort, Peers
+from shallotpoint.coordination.transport import (
+    NngTransport,
+    Sealer,
+    TransportError,
+)
+from shallotpoint.testing.cases import TestCase
+
+
+class MemoryTransport:
+    """Carries messages inside this process; loses some, cuts some off."""
+
+    def __init__(self, rng, loss=0.0):
+        self.handlers = {}
+        self.rng = rng
+        self.loss = loss
+        self.cut = set()
+
+    async def request(self, address, message, *, timeout_s):
+        await asyncio.sleep(0)
+        if address in self.cut or self.rng.random() < self.loss:
+            raise TransportError("lost")
+        return await self.handlers[address](message)
+
+
+class Holder:
+    def __init__(self):
+        self.state = ConfigState()
+
+    def offer(self, sections):
+        for section in sections:
+            self.state = self.state.merged(section)
+
+
+def members(count, seed=1, loss=0.0):
+    transport = MemoryTransport(random.Random(seed), loss)
+    made = {}
+
+    async def answer(body):
+        return body
+
+    for index in range(count):
+        name = f"m{index}"
+        holder = Holder()
+        peers = Peers(
+            Board(name, 1),
+            transport,
+            config=ConfigPort(lambda h=holder: h.state, holder.offer),
+            answer=answer,
+            clock=lambda: 0.0,
+            rng=random.Random(index),
+        )
+        transport.handlers[name] = peers.handle
+        made[name] = (peers, holder)
+    return transport, made
+
+
+class GossipTests(TestCase):
+    @given(st.integers(0, 10_000))
+    def test_rows_and_config_reach_all_despite_loss(self, seed):
+        async def main():
+            _, made = members(5, seed, loss=0.3)
+            names = {name: name for name in made}
+            for name, (peers, _) in made.items():
+                peers.board.publish("load", name.encode(), now=0.0)
+            made["m0"][1].offer([Section("classes", 7, {"x": {"tier": 1}})])
+            for _ in range(40):
+                for name, (peers, _) in made.items():
+                    others = {n: a for n, a in names.items() if n != name}
+                    await peers.round(others, urgent=True)
+            for peers, holder in made.values():
+                assert len(list(peers.board.rows("load"))) == 5
+                assert holder.state.version == 7
+
+        asyncio.run(main())
+
+    def test_a_partition_heals_to_the_newer_version(self):
+        async def main():
+            transport, made = members(2)
+            one, two = made["m0"], made["m1"]
+            one[1].offer([Section("classes", 3)])
+            two[1].offer([Section("classes", 5)])
+            transport.cut = {"m0", "m1"}
+            await one[0].round({"m1": "m1"}, urgent=True)
+            self.assertEqual(3, one[1].state.version)
+            transport.cut = set()
+            await one[0].round({"m1": "m1"}, urgent=True)
+            return one[1].state.version, two[1].state.version
+
+        self.assertEqual((5, 5), self.run_async(main()))
+
+    def test_malformed_messages_are_counted_and_dropped(self):
+        async def main():
+            _, made = members(1)
+            peers = made["m0"][0]
+            for raw in (b"", b"\xff\xff", b"\x93\x01\x02\x03"):
+                with self.assertRaises(TransportError):
+                    await peers.handle(raw)
+            return peers.stats.malformed
+
+        self.assertEqual(3, self.run_async(main()))
+
+    def test_a_restarted_member_replaces_its_rows(self):
+        board = Board("me", 1)
+        old, new = Board("other", 1), Board("other", 2)
+        for _ in range(5):
+            old.publish("load", b"old", now=0.0)
+        new.publish("load", b"new", now=0.0)
+        board.merge(old.delta({}), now=0.0)
+        board.merge(new.delta({}), now=0.0)
+        board.merge(old.delta({}), now=0.0)
+        self.assertEqual(b"new", board.get("other", "load").payload)
+
+
+class TransportTests(TestCase):
+    def test_only_holders_of_the_key_are_answered(self):
+        async def main():
+            async def echo(message):
+                return message
+
+            good, bad = NngTransport(Sealer(b"key")), NngTransport(Sealer(b"other"))
+            async with good.listening("127.0.0.1:0", echo) as address:
+                reply = await good.request(address, b"hi", timeout_s=2.0)
+                with self.assertRaises(TransportError):
+                    await bad.request(address, b"hi", timeout_s=0.3)
+                rejected = good.rejected
+            good.close()
+            bad.close()
+            return reply, rejected
+
+        self.assertEqual((b"hi", 1), self.run_async(main()))
+
+
+class OverlayTests(TestCase):
+    def test_small_fleets_are_a_full_mesh(self):
+        names = [f"m{i}" for i in range(9)]
+        self.assertEqual(8, len(neighbours("m0", names)))
+
+    def test_large_fleets_are_sparse_and_reached_in_few_steps(self):
+        names = [f"m{i}" for i in range(340)]
+        dialled = {n: neighbours(n, names) for n in names}
+        self.assertThat(max(map(len, dialled.values())), LessThan(10))
+        reached, steps = {"m0"}, 0
+        while len(reached) < 340:
+            reached |= {x for n in reached for x in dialled[n]}
+            steps += 1
+        self.assertThat(steps, LessThan(math.log2(340) + 1))
+
+    def test_cells_are_even(self):
+        sizes = [len(cell) for cell in cells([f"m{i}" for i in range(57)])]
+        self.assertThat(max(sizes) - min(sizes), LessThan(2))
+
+    def test_subsets_change_little_with_the_upstreams(self):
+        things = [f"u{i}" for i in range(300)]
+        before = set(subset("m0", things, count=24))
+        after = set(subset("m0", things[:-1], count=24))
+        self.assertThat(len(before - after), LessThan(2))
+        self.assertEqual(sorted(rank(things, "x")), sorted(things))
