--- a/shallotpoint/__init__.py
+++ b/shallotpoint/__init__.py
@@ -7,7 +7,8 @@
 from shallotpoint.blackboard import Blackboard
 from shallotpoint.coordination.cas import CasCell
 from shallotpoint.coordination.config import ConfigState, ConfigStore, Edit, Section
-from shallotpoint.coordination.credits import CreditLedger, PeerCredits
+from shallotpoint.coordination.credit_rows import PeerCredits
+from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board, Row
 from shallotpoint.coordination.kv import (
     Delete,
--- a/shallotpoint/bench/fleet.py
+++ b/shallotpoint/bench/fleet.py
@@ -22,7 +22,8 @@
 from shallotpoint.bench.policy_bench import print_line
 from shallotpoint.bench.report import percentile
 from shallotpoint.coordination.config import ConfigState, ConfigStore, Edit
-from shallotpoint.coordination.credits import CreditLedger, PeerCredits
+from shallotpoint.coordination.credit_rows import PeerCredits
+from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.ledger import OnceLedger
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
@@ -42,6 +43,7 @@
 
 GOSSIP_S = 0.25
 MEASURE_S = 4.0
+SLOPE_TIMEOUT_S = 60.0
 
 
 def line(metric: str, value: float, unit: str, **fields) -> None:
@@ -300,10 +302,15 @@
 
 async def measure_slopes() -> None:
     """Print the control cost of one router over sizes."""
-    for routers in (4, 8, 16, 32, 64):
-        await _slope(routers, 100)
-    for upstreams in (10, 300, 1_000):
-        await _slope(8, upstreams)
+    sizes = [(8, 10), (8, 300), (8, 1_000), (4, 100), (8, 100)]
+    sizes += [(16, 100), (32, 100), (64, 100)]
+    for routers, upstreams in sizes:
+        try:
+            async with asyncio.timeout(SLOPE_TIMEOUT_S):
+                await _slope(routers, upstreams)
+        except TimeoutError:
+            where = f"{routers}_routers.{upstreams}_upstreams"
+            line(f"control.timed_out.{where}", SLOPE_TIMEOUT_S, "s")
     await _stored_size()
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
     line("resident_peak.64_control_parts", peak / 1e3, "MB")
--- a/shallotpoint/bench/world.py
+++ b/shallotpoint/bench/world.py
@@ -12,7 +12,8 @@
 from shallotpoint.bench.workloads import Arrival, Workload, draw_arrivals
 from shallotpoint.controllers.pools import pool_wants
 from shallotpoint.controllers.sections import credit_key
-from shallotpoint.coordination.credits import CreditLedger, PeerCredits
+from shallotpoint.coordination.credit_rows import PeerCredits
+from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.policy.actions import Expire, Refused, Send, Withdraw
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.state import Slots
--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -25,7 +25,6 @@
 CHAT_PATH = "/v1/chat/completions"
 PREFIX_CHARS = 256  # prompts that share this much likely share cached work
 MERGE_S = 0.036  # least time between two writes; below the usual pace of tokens
-BLOCKED_S = 0.05  # a write that takes longer waited for the caller
 _STREAM_HEADERS = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
     (b"cache-control", b"no-cache"),
@@ -164,7 +163,7 @@
                 continue
             self.pool.progress(self.ticket.id, upstream, tokens)
             self._count(tokens)
-            await self._write_events(held + events, last=done)
+            await self._write_events(upstream, held + events, last=done)
             held = b""
             if done:
                 self._note_times(upstream)
@@ -185,16 +184,30 @@
             if not transport.is_closing():
                 transport.resume_reading()
 
-    async def _write_events(self, events: bytes, *, last: bool) -> None:
+    async def _write_events(self, upstream: str, events: bytes, *, last: bool) -> None:
         try:
             if not self.exchange.started:
                 await self.exchange.start(200, _STREAM_HEADERS)
-            await self.exchange.write(events, more=not last)
+            await self._write_at_callers_pace(upstream, events, last=last)
         except OSError:
             raise CallerGone from None
         if self.ticket.resumable and not last:
             self._delivered.add(events)
 
+    async def _write_at_callers_pace(
+        self, upstream: str, events: bytes, *, last: bool
+    ) -> None:
+        """Write, and say so if that has to wait for a slow caller."""
+        writing = self.exchange.write(events, more=not last)
+        if not self.exchange.is_slow():
+            await writing
+            return
+        self.pool.hold_back(self.ticket.id, upstream, True)
+        try:
+            await writing
+        finally:
+            self.pool.hold_back(self.ticket.id, upstream, False)
+
     def _count(self, tokens: int) -> None:
         now = time.monotonic()
         if self._first_s is None:
--- a/shallotpoint/callers/exchange.py
+++ b/shallotpoint/callers/exchange.py
@@ -82,6 +82,11 @@
             {"type": "http.response.start", "status": status, "headers": head}
         )
 
+    def is_slow(self) -> bool:
+        """Return whether the next write has to wait for the caller."""
+        flow = getattr(getattr(self._send, "__self__", None), "flow", None)
+        return bool(getattr(flow, "write_paused", False))
+
     async def write(self, data: bytes, *, more: bool = True) -> None:
         """Send a part of the body; waits while the caller is slow."""
         await self._send(
--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -15,7 +15,8 @@
     HostsSection,
     credit_key,
 )
-from shallotpoint.coordination.credits import CreditLedger, CreditRow, PeerCredits
+from shallotpoint.coordination.credit_rows import CreditRow, PeerCredits
+from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board, Row
 from shallotpoint.policy.poison import CrashReport
 from shallotpoint.types import Clock, Seconds
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -73,6 +73,10 @@
         actions = self.scheduler.progress(ticket_id, upstream, tokens, self._clock())
         self._carry_out(actions)
 
+    def hold_back(self, ticket_id: str, upstream: str, held_back: bool) -> None:
+        """Note that a stream begins or ends to wait for its caller."""
+        self.scheduler.hold_back(ticket_id, upstream, held_back, self._clock())
+
     def finished(self, ticket_id: str, upstream: str) -> None:
         """Note a whole answer."""
         actions = self.scheduler.finished(ticket_id, upstream, self._clock())
--- a/shallotpoint/coordination/credits.py
+++ b/shallotpoint/coordination/credits.py
@@ -17,91 +17,23 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from functools import partial
-
-import msgspec
 
+from shallotpoint.coordination.credit_rows import (
+    CreditRow,
+    Delay,
+    PeerCredits,
+    Taken,
+    Use,
+    owners_of,
+)
 from shallotpoint.coordination.overlay import rendezvous_score
 from shallotpoint.hashing import hash64
 from shallotpoint.types import Seconds
 
 SETTLE_S = 3.0  # a unit gained by a change of members is used after this time
 IDLE_BEFORE_RETURN_S = 1.0
-MAX_URGENT_DELAY_S = 0.5  # with slower peers, units would idle on their way
-_DELAY_GAIN = 0.3
-
-
-class Use(msgspec.Struct, frozen=True, array_like=True):
-    """What one member says of one upstream.
-
-    Attributes
-    ----------
-    wanted : int
-        Units it could use now.
-    held : int
-        Units it may use.
-    running : int
-        Units in use.
-    urgent : int
-        Units it needs now for work that cannot give way or wait.
-    """
-
-    wanted: int = 0
-    held: int = 0
-    running: int = 0
-    urgent: int = 0
-
-    @property
-    def idle(self) -> int:
-        """Units that are neither in use nor wanted."""
-        return max(0, self.held - max(self.running, self.wanted))
-
-    @property
-    def yielding(self) -> int:
-        """Units that could be freed for urgent work elsewhere."""
-        return max(0, self.held - self.urgent)
-
-
-class Taken(msgspec.Struct, frozen=True, array_like=True):
-    """What a borrower has seen granted, and what it has given back of that."""
-
-    seen: int = 0
-    returned: int = 0
-
-
-class CreditRow(msgspec.Struct, frozen=True, array_like=True):
-    """A member's row: use by upstream, and its counters by peer and upstream.
-
-    Peers are addressed as ``name#incarnation``.  All counters run from the
-    start of the member.
-
-    Attributes
-    ----------
-    granted : dict
-        Units lent to a peer.
-    taken : dict
-        Units borrowed from a peer.
-    view : int
-        Hash of the member list that the member goes by.
-    known : dict
-        Incarnation of each peer that the member has heard and goes by.
-    """
-
-    use: dict[str, Use] = {}
-    granted: dict[str, dict[str, int]] = {}
-    taken: dict[str, dict[str, Taken]] = {}
-    view: int = 0
-    known: dict[str, int] = {}
-
-
-@dataclass(frozen=True, slots=True)
-class PeerCredits:
-    """A peer's row together with the incarnation that wrote it."""
-
-    incarnation: int
-    row: CreditRow
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,39 +48,6 @@
     knows_me: bool
 
 
-@dataclass(slots=True)
-class _Delay:
-    """How long a peer takes to see a grant, from one grant at a time."""
-
-    average_s: Seconds = 0.0
-    upstream: str = ""
-    total: int = 0
-    since_s: Seconds | None = None
-
-    def granted(self, upstream: str, total: int, now: Seconds) -> None:
-        """Start to time a grant, unless one is under way."""
-        if self.since_s is None:
-            self.upstream, self.total, self.since_s = upstream, total, now
-
-    def heard(self, taken: Mapping[str, Taken], now: Seconds) -> None:
-        """Note what the peer has seen."""
-        seen = taken.get(self.upstream)
-        if self.since_s is None or seen is None or seen.seen < self.total:
-            return
-        delay_s = now - self.since_s
-        self.average_s += _DELAY_GAIN * (delay_s - self.average_s)
-        self.since_s = None
-
-    def is_long(self, now: Seconds) -> bool:
-        """Return whether grants reach the peer too late for urgent work."""
-        return self.present_s(now) > MAX_URGENT_DELAY_S
-
-    def present_s(self, now: Seconds) -> Seconds:
-        """Return the delay, counting a grant that is still unseen."""
-        unseen_s = 0.0 if self.since_s is None else now - self.since_s
-        return max(self.average_s, unseen_s)
-
-
 @dataclass(slots=True)
 class _Unit:
     """One owned unit: usable from a time on, once all peers know of the owner."""
@@ -215,7 +114,7 @@
         self._peers: dict[str, _Peer] = {}
         self._view = 0
         self._agreed = False
-        self._delays: dict[str, _Delay] = {}
+        self._delays: dict[str, Delay] = {}
         self._granted: dict[str, dict[str, int]] = {}
         self._returned: dict[str, dict[str, int]] = {}
 
@@ -494,7 +393,7 @@
         counters = self._granted.setdefault(peer, {})
         counters[name] = counters.get(name, 0) + count
         self._upstreams[name].held = None
-        delay = self._delays.setdefault(peer, _Delay())
+        delay = self._delays.setdefault(peer, Delay())
         delay.granted(name, counters[name], now)
         return True
 
@@ -548,30 +447,6 @@
         return max(0, granted - self._taken_by(peer, name).seen)
 
 
-def owners_of(upstream: str, capacity: int, members: Sequence[str]) -> list[str]:
-    """Return the owner of each unit: its best member that is not full yet.
-
-    Every member gets the same number, give or take one, and a change of members
-    moves few units.
-
-    Examples
-    --------
-    >>> sorted(owners_of("u", 4, ["a", "b"]))
-    ['a', 'a', 'b', 'b']
-    """
-    least, most = capacity // len(members), math.ceil(capacity / len(members))
-    counts: dict[str, int] = {}
-    owners = []
-    for index in range(capacity):
-        open_members = [m for m in members if counts.get(m, 0) < least] or [
-            m for m in members if counts.get(m, 0) < most
-        ]
-        owner = max(open_members, key=partial(_score_of, f"{upstream}/{index}"))
-        counts[owner] = counts.get(owner, 0) + 1
-        owners.append(owner)
-    return owners
-
-
 def _next_change_s(state: _Upstream, now: Seconds) -> Seconds:
     """Return when the held units change by themselves."""
     times = [unit.from_s for unit in state.owned.values() if unit.from_s > now]
@@ -585,7 +460,3 @@
 
 def _yielding(use: Use) -> int:
     return use.yielding
-
-
-def _score_of(unit: str, member: str) -> int:
-    return rendezvous_score(member, unit)
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -263,15 +263,16 @@
             keys=KeyIndex(),
             ids=request_ids(),
         )
-        self.callers = await self._serve(
-            stack, app, settings.listen.callers, settings.tls.callers
-        )
         self.operators = await self._serve(
             stack,
             operators_app(self.desk, settings.operators),
             settings.listen.operators,
             settings.tls.operators,
         )
+        # Last, so that a router that answers callers answers operators too.
+        self.callers = await self._serve(
+            stack, app, settings.listen.callers, settings.tls.callers
+        )
 
     async def _serve(self, stack, app, address: str, tls) -> HttpServer:
         host, _, port = address.rpartition(":")
--- a/shallotpoint/operators/tables.py
+++ b/shallotpoint/operators/tables.py
@@ -4,7 +4,7 @@
 
 import operator
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import asdict
 from typing import Any
 
@@ -20,6 +20,7 @@
 )
 from shallotpoint.errors import OperatorError
 from shallotpoint.operators.commands import Condition, Show, read_duration_s
+from shallotpoint.policy.ticket import Course
 from shallotpoint.results import Result
 from shallotpoint.types import JSONObject, Seconds
 
@@ -92,40 +93,30 @@
             rows.append(row)
         return rows
 
-    def _courses(self):
+    def _courses(self) -> Iterator[tuple[JSONObject, Course]]:
+        """Yield each request that waits or runs, with the columns it always has."""
+        now = time.monotonic()
         for runner in self._pools.runners():
             for course in list(runner.scheduler.courses.values()):
-                yield runner.pool.name, course
+                ticket = course.ticket
+                row = {
+                    "request": ticket.id,
+                    "organisation": ticket.organisation,
+                    "class": ticket.service_class.name,
+                    "pool": runner.pool.name,
+                    "age": round(now - ticket.arrived_s, 3),
+                }
+                yield row, course
 
     def _running(self) -> list[JSONObject]:
-        now = time.monotonic()
         return [
-            {
-                "request": course.ticket.id,
-                "organisation": course.ticket.organisation,
-                "class": course.ticket.service_class.name,
-                "pool": pool,
-                "upstream": leg.upstream,
-                "tokens": leg.tokens,
-                "age": round(now - course.ticket.arrived_s, 3),
-            }
-            for pool, course in self._courses()
+            {**row, "upstream": leg.upstream, "tokens": leg.tokens}
+            for row, course in self._courses()
             for leg in course.legs
         ]
 
     def _waiting(self) -> list[JSONObject]:
-        now = time.monotonic()
-        return [
-            {
-                "request": course.ticket.id,
-                "organisation": course.ticket.organisation,
-                "class": course.ticket.service_class.name,
-                "pool": pool,
-                "age": round(now - course.ticket.arrived_s, 3),
-            }
-            for pool, course in self._courses()
-            if not course.legs
-        ]
+        return [row for row, course in self._courses() if not course.legs]
 
     def _upstreams(self) -> list[JSONObject]:
         config = self._board.get(ConfigSection).config
--- a/shallotpoint/policy/rescue.py
+++ b/shallotpoint/policy/rescue.py
@@ -13,6 +13,8 @@
 
 MAX_MOVES = 4  # times that one request is carried on after a failure
 MAX_PREEMPTIONS = 20
+STALL_MIN_S = 2.0  # a stream that is silent for less is not moved
+STALL_RATIO = 40.0  # against the usual time between tokens
 LOWER_TIER_WAIT_S = 2.0  # tiers below the first wait this long before they preempt
 
 
@@ -169,6 +171,23 @@
                 yield course
 
 
+def stalled(state: PoolState, now: Seconds) -> list[Course]:
+    """Return streams whose upstream fell silent, to be carried on elsewhere."""
+    if not state.tuning.move_slow:
+        return []
+    limit_s = max(STALL_MIN_S, STALL_RATIO * state.health.median_tbt_s())
+    found = []
+    for course in state.courses.values():
+        if len(course.legs) != 1 or not course.ticket.resumable:
+            continue
+        leg = course.legs[0]
+        if leg.last_s is None or leg.held_back or now - leg.last_s < limit_s:
+            continue
+        if course.moves < MAX_MOVES and len(state.upstreams) > 1:
+            found.append(course)
+    return found
+
+
 def _may_move(state: PoolState, course: Course, upstream: str, now: Seconds) -> bool:
     if not course.ticket.resumable or course.moves >= MAX_MOVES:
         return False
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -36,6 +36,7 @@
 PATIENT_TTFT_S = 5.0  # classes with a later target are used for probes first
 PROBE_ANYWAY_S = 5.0  # a probe that is overdue by this may use other work
 SWEEP_S = 0.015  # least time between two looks at all that is under way
+STALL_CHECK_S = 0.25
 SUSPECT_CLEAR_S = 5.0  # a suspect that streams this long is cleared
 
 
@@ -65,6 +66,7 @@
         self.crash_reports: list[CrashReport] = []
         self._expiries: list[tuple[Seconds, str]] = []
         self._swept_s: Seconds = -math.inf
+        self._stalls_s: Seconds = -math.inf
         self._credits_changed = False
 
     # Configuration
@@ -194,11 +196,14 @@
         self._clear_suspicion(course, leg, now)
         return actions
 
-    def resumed(self, ticket_id: str, upstream: str, now: Seconds) -> None:
-        """Note that a stream was held back by its caller, not its upstream."""
+    def hold_back(
+        self, ticket_id: str, upstream: str, held_back: bool, now: Seconds
+    ) -> None:
+        """Note that a stream begins or ends to wait for its caller."""
         course = self.courses.get(ticket_id)
         leg = course.leg_on(upstream) if course else None
         if leg is not None:
+            leg.held_back = held_back
             leg.last_s = now
 
     def finished(self, ticket_id: str, upstream: str, now: Seconds) -> list[Action]:
@@ -456,7 +461,13 @@
     def _move(self, now: Seconds) -> list[Action]:
         """Carry streams on elsewhere when their upstream is judged slow."""
         actions: list[Action] = []
-        for course in rescue.stuck_on_slow(self._state, now):
+        stuck = list(rescue.stuck_on_slow(self._state, now))
+        if now - self._stalls_s >= STALL_CHECK_S:
+            self._stalls_s = now
+            stuck += rescue.stalled(self._state, now)
+        for course in stuck:
+            if not course.legs:
+                continue
             course.moves += 1
             actions.append(self._withdraw(course, Result.RETRY_CARRY_ON, now))
         if actions:
--- a/shallotpoint/policy/ticket.py
+++ b/shallotpoint/policy/ticket.py
@@ -53,7 +53,13 @@
 
 @dataclass(slots=True)
 class Leg:
-    """One attempt of a request on one upstream."""
+    """One attempt of a request on one upstream.
+
+    Attributes
+    ----------
+    held_back : bool
+        Whether the stream waits for its caller, not for its upstream.
+    """
 
     upstream: str
     sent_s: Seconds
@@ -61,6 +67,7 @@
     last_s: Seconds | None = None
     tokens: int = 0
     hedge: bool = False
+    held_back: bool = False
 
     @property
     def waiting(self) -> bool:
--- a/shallotpoint/standins/engine.py
+++ b/shallotpoint/standins/engine.py
@@ -18,7 +18,11 @@
 
 from shallotpoint.hashing import hash64
 from shallotpoint.httpd import CrashToCut
-from shallotpoint.standins.faults import faults_route
+from shallotpoint.standins.faults import (
+    SimulatedCrash,
+    UpstreamFaults,
+    faults_route,
+)
 from shallotpoint.standins.timing import EngineTiming, PrefixCache, drawn_length
 from shallotpoint.types import JSONObject, Seconds
 
@@ -26,23 +30,6 @@
 _POLL_S = 0.02
 
 
-@dataclass(slots=True)
-class EngineFaults:
-    """Faults of an engine; times in seconds."""
-
-    slow_factor: float = 1.0
-    crash_after_tokens: int = 0
-    refuse: bool = False
-    hang: bool = False
-    crash_on_word: str = ""
-    restart_s: Seconds = 1.0
-    report_lag_s: Seconds = 0.0
-
-
-class EngineCrash(ConnectionAbortedError):
-    """Ends a connection without an answer."""
-
-
 @dataclass(frozen=True, slots=True)
 class Generation:
     """What a request makes the engine say."""
@@ -163,7 +150,7 @@
         crash: Callable[[Seconds], None] | None = None,
     ):
         self.timing = timing or EngineTiming()
-        self.faults = EngineFaults()
+        self.faults = UpstreamFaults()
         self.orders = Orders(checks_fence, loaded=dict.fromkeys(models, "base"))
         self.crash = crash
         self.started = 0
@@ -181,7 +168,7 @@
                     faults_route(self.faults),
                 ]
             ),
-            EngineCrash,
+            SimulatedCrash,
         )
 
     async def _complete(self, request: Request) -> Response:
@@ -207,7 +194,7 @@
         if word and word in generation.words:
             if self.crash is not None:
                 self.crash(self.faults.restart_s)
-            raise EngineCrash("crashed on a word")
+            raise SimulatedCrash("crashed on a word")
 
     async def _generate(self, generation: Generation) -> AsyncIterator[str]:
         """Yield tokens at the pace of the batch."""
@@ -223,7 +210,7 @@
                 await asyncio.sleep(wait_s)
                 await self._pause()
                 if 0 < self.faults.crash_after_tokens <= index:
-                    raise EngineCrash("crashed after tokens")
+                    raise SimulatedCrash("crashed after tokens")
                 yield generation.word(index)
                 wait_s = self.timing.token_time_s(
                     self._batch.running, slow_factor=self.faults.slow_factor
@@ -254,7 +241,7 @@
             while not collecting.done():
                 await asyncio.wait({collecting}, timeout=_POLL_S)
                 if await request.is_disconnected():
-                    raise EngineCrash("the caller is gone")
+                    raise SimulatedCrash("the caller is gone")
             text = collecting.result()
         finally:
             collecting.cancel()
--- a/shallotpoint/standins/faults.py
+++ b/shallotpoint/standins/faults.py
@@ -2,13 +2,35 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, fields
+from dataclasses import asdict, dataclass, fields
 from typing import Any
 
 from starlette.requests import Request
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from shallotpoint.types import Seconds
+
+
+class SimulatedCrash(ConnectionAbortedError):
+    """Ends a connection without an answer, as a killed process does."""
+
+
+@dataclass(slots=True)
+class UpstreamFaults:
+    """Faults of an engine or a plain service; times in seconds.
+
+    ``crash_after_tokens`` cuts a plain service's connection once the call has run.
+    """
+
+    slow_factor: float = 1.0
+    crash_after_tokens: int = 0
+    refuse: bool = False
+    hang: bool = False
+    crash_on_word: str = ""
+    restart_s: Seconds = 1.0
+    report_lag_s: Seconds = 0.0
+
 
 def set_faults(faults: Any, wanted: dict) -> None:
     """Put exactly the wanted faults in force; ValueError names a bad one."""
--- a/shallotpoint/standins/service.py
+++ b/shallotpoint/standins/service.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 from starlette.applications import Starlette
@@ -14,29 +13,16 @@
 from starlette.routing import Route
 
 from shallotpoint.httpd import CrashToCut
-from shallotpoint.standins.engine import EngineCrash
-from shallotpoint.standins.faults import faults_route
+from shallotpoint.standins.faults import (
+    SimulatedCrash,
+    UpstreamFaults,
+    faults_route,
+)
 from shallotpoint.types import JSONObject, Seconds
 
 _POLL_S = 0.02
 
 
-@dataclass(slots=True)
-class ServiceFaults:
-    """Faults of a plain service; times in seconds.
-
-    ``crash_after_tokens`` cuts the connection after the call has run.
-    """
-
-    slow_factor: float = 1.0
-    crash_after_tokens: int = 0
-    refuse: bool = False
-    hang: bool = False
-    crash_on_word: str = ""
-    restart_s: Seconds = 1.0
-    report_lag_s: Seconds = 0.0
-
-
 class ServiceStandin:
     """Counts executions and echoes bodies.
 
@@ -54,7 +40,7 @@
         work_s: Seconds = 0.005,
         crash: Callable[[Seconds], None] | None = None,
     ):
-        self.faults = ServiceFaults()
+        self.faults = UpstreamFaults()
         self.executions: list[JSONObject] = []
         self.crash = crash
         self._work_s = work_s
@@ -71,7 +57,7 @@
                     ),
                 ]
             ),
-            EngineCrash,
+            SimulatedCrash,
         )
 
     async def _execute(self, request: Request) -> Response:
@@ -90,7 +76,7 @@
             await asyncio.sleep(_POLL_S)
         await asyncio.sleep(self._work_s * self.faults.slow_factor)
         if self.faults.crash_after_tokens:
-            raise EngineCrash("cut after execution")
+            raise SimulatedCrash("cut after execution")
         answer = msgspec.json.encode({"count": count, "echo": body})
         return Response(answer, media_type="application/json")
 
@@ -99,7 +85,7 @@
         if word and word in body:
             if self.crash is not None:
                 self.crash(self.faults.restart_s)
-            raise EngineCrash("crashed on a word")
+            raise SimulatedCrash("crashed on a word")
 
     async def _list(self, request: Request) -> JSONResponse:
         return JSONResponse(self.executions)
--- a/shallotpoint/tests/test_credits.py
+++ b/shallotpoint/tests/test_credits.py
@@ -5,11 +5,8 @@
 from hypothesis import Phase, given, settings, strategies as st
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from shallotpoint.coordination.credits import (
-    CreditLedger,
-    PeerCredits,
-    owners_of,
-)
+from shallotpoint.coordination.credit_rows import PeerCredits, owners_of
+from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.testing.cases import TestCase
 
 CAPACITY = 12
--- a/shallotpoint/tests/test_path.py
+++ b/shallotpoint/tests/test_path.py
@@ -1,6 +1,7 @@
 """The whole path: callers, routers, stand-ins, over real sockets."""
 
 import asyncio
+import contextlib
 import random
 import time
 
@@ -10,7 +11,7 @@
 from testtools.matchers import Contains, Equals, LessThan
 
 from shallotpoint.bench.load import expected_text
-from shallotpoint.daemons.demo import MODEL, FleetPlan, fleet
+from shallotpoint.daemons.demo import MODEL, FleetPlan, fleet, start_router
 from shallotpoint.standins.timing import EngineTiming
 from shallotpoint.testing.cases import TestCase, eventually
 from shallotpoint.upstreams.sse import text_of
@@ -151,6 +152,43 @@
         wanted = [(200, expected_text(f"r{i} a b c", 30), True) for i in range(4)]
         self.assertEqual(wanted, found)
 
+    def test_a_stream_that_falls_silent_is_carried_on(self):
+        async def main(made, session):
+            call = asyncio.create_task(self.stream(made, session, "r a b c", 100))
+            busy = lambda: [e for e in made.engines if e._batch.running]  # noqa: E731
+            await eventually(busy)
+            await asyncio.sleep(0.5)
+            busy()[0].faults.hang = True
+            return await call
+
+        status, raw = self.with_fleet(main, timing=SLOW, timeout_s=30.0)
+        self.assertEqual(200, status)
+        self.assertEqual(expected_text("r a b c", 100), text_of(raw))
+        self.assertTrue(raw.endswith(b"data: [DONE]\n\n"))
+
+    def test_a_slow_caller_holds_back_only_itself(self):
+        async def main(made, session):
+            url = f"{made.routers[0].callers.url}/v1/chat/completions"
+            body = chat("w " * 200, 30_000, stream=True)
+            slow = await session.post(
+                url, json=body, headers=headers(made), read_bufsize=1_024
+            )
+            await asyncio.sleep(1.5)
+            fast = await self.stream(made, session, "r a b c", 50)
+            await asyncio.sleep(2.0)
+            steps = [
+                c.legs
+                for c in made.routers[0].pools.runners()[0].scheduler.courses.values()
+            ]
+            slow.close()
+            return fast, [leg.upstream for legs in steps for leg in legs]
+
+        (status, raw), legs = self.with_fleet(
+            main, timing=EngineTiming(token_s=0.0001, batch_s=0.0)
+        )
+        self.assertEqual(expected_text("r a b c", 50), text_of(raw))
+        self.assertEqual((200, 1), (status, len(legs)))
+
     def test_an_answer_that_cannot_be_carried_on_never_looks_whole(self):
         async def main(made, session):
             for engine in made.engines:
@@ -415,3 +453,28 @@
         self.assertEqual(
             {"engine-1", "engine-2"}, {r["name"] for r in upstreams["rows"]}
         )
+
+
+class MembershipTests(PathTestCase):
+    def test_a_router_that_starts_in_an_outage_learns_from_peers(self):
+        async def main(made, session):
+            made.kv.kv.faults.down = True
+            plan = FleetPlan(routers=3, engines=2, timing=FAST)
+            async with contextlib.AsyncExitStack() as stack:
+                router = await start_router(made, plan, stack, 2)
+                await eventually(router.ready, timeout_s=8.0)
+                return router.config.state.version, made.routers[0].config.state.version
+
+        newcomer, known = self.with_fleet(main)
+        self.assertEqual(known, newcomer)
+
+    def test_a_router_that_hears_nobody_is_not_ready(self):
+        async def main(made, session):
+            router = made.routers[0]
+            made.kv.kv.faults.down = True
+            self.assertTrue(router.ready())
+            await eventually(lambda: not router.ready(), timeout_s=12.0)
+            made.kv.kv.faults.down = False
+            await eventually(router.ready, timeout_s=12.0)
+
+        self.with_fleet(main, routers=1)
