Ask an upstream in doubt when every good one failed the request

Cause: a test under load timed out after 30 s: with two upstreams, one hung and the other ejected as slow, a stream that fell silent was sent back to the hung one, and nothing else came along to probe the other. Reproduced in two focused tests on the scheduler, which fail before and pass after. Ruled out: credits (both upstreams had free slots).

Change: a request that every usable upstream has had goes to one that is due to be tried out; an overdue first token may be asked of one too.

--- a/shallotpoint/bench/policy_bench.py
+++ b/shallotpoint/bench/policy_bench.py
@@ -4,15 +4,15 @@
 
 import argparse
 import json
-import statistics
 from collections.abc import Callable, Mapping
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from shallotpoint.bench.cli import register
 from shallotpoint.bench.report import BURSTING, figures
+from shallotpoint.bench.run_model import Faults, Policy
 from shallotpoint.bench.workloads import WORKLOADS, Workload
-from shallotpoint.bench.world import Faults, Policy, World
+from shallotpoint.bench.world import World
 from shallotpoint.policy.tuning import Tuning
 
 CURRENT = "current"
@@ -131,22 +131,3 @@
                 baseline_value=theirs.get(metric),
             )
     return 0
-
-
-def summarise(
-    workload: str, policy: str, scenario: str, seeds: range
-) -> dict[str, tuple[float, float, float]]:
-    """Return median, least and greatest of each figure over seeds."""
-    cases = [Case(workload, policy, scenario, seed) for seed in seeds]
-    runs = run_cases(cases)
-    names = sorted({name for run in runs for name in run})
-    found = {}
-    for name in names:
-        values = [run[name] for run in runs if name in run]
-        found[name] = (statistics.median(values), min(values), max(values))
-    return found
-
-
-def with_tuning(name: str, **changes) -> Policy:
-    """Return this project's policy with some switches changed."""
-    return Policy(name, replace(Tuning(), **changes))
--- a/shallotpoint/bench/report.py
+++ b/shallotpoint/bench/report.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 
+from shallotpoint.bench.run_model import Fate
 from shallotpoint.bench.workloads import Workload
-from shallotpoint.bench.world import Fate, RunResult
+from shallotpoint.bench.world import RunResult
 from shallotpoint.types import Seconds
 
 BURSTING = "big-0"  # the organisation that bursts in the scenario of that name
@@ -182,6 +184,8 @@
             item[1] -= used
             served += used
             budget -= used
+            if used > 0:
+                item[0] = math.inf  # what has begun no longer expires
             if budget <= 0:
                 break
         queue = [item for item in queue if item[1] > 0]
--- a/shallotpoint/bench/workloads.py
+++ b/shallotpoint/bench/workloads.py
@@ -39,11 +39,6 @@
             return self.timing.prefill_s + self.timing.token_s
         return self.timing.token_time_s(self.timing.slots)
 
-    @property
-    def prefill_tokens(self) -> Tokens:
-        """Tokens' worth of time that the start of each answer costs."""
-        return self.timing.prefill_s / self.token_s if self.timing.batch_s else 0.0
-
 
 @dataclass(frozen=True, slots=True)
 class Kind:
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -218,6 +218,9 @@
 
     def _end(self, result: Result) -> None:
         self.log.result = result
+        if result is not Result.OK and self.log.tokens:
+            labels = {"pool": self.pool.pool.name}
+            self.services.metrics.wasted.add(labels, self.log.tokens)
         end_request(
             self.services, self.caller, self.ticket.id, result, self.pool.pool.name
         )
--- a/shallotpoint/callers/service_calls.py
+++ b/shallotpoint/callers/service_calls.py
@@ -26,7 +26,6 @@
 LEDGER_TIMEOUT_S = 0.9  # with the key-value service out, refuse within a second
 PENDING_WAIT_S = 2.0  # a repeat waits this long for the first call's outcome
 PENDING_POLL_S = 0.1
-_PASSED_HEADERS = frozenset({"content-type", "accept", "idempotency-key"})
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotpoint/policy/rescue.py
+++ b/shallotpoint/policy/rescue.py
@@ -136,7 +136,7 @@
     """Yield requests with an overdue first token, and a second upstream for each."""
     if state.tuning.hedge_ratio is None or not state.starting:
         return
-    if not state.free_slots:
+    if not state.open_upstreams():
         return
     median_s = state.health.median_ttft_s()
     limit_s = max(state.tuning.hedge_min_s, state.tuning.hedge_ratio * median_s)
@@ -146,18 +146,26 @@
             continue
         if now - course.legs[0].sent_s < limit_s:
             continue
-        names = [
-            name
-            for name, slots in state.upstreams.items()
-            if slots.free and state.is_usable(name) and name not in course.tried
-        ]
-        upstream = choose((state.candidate(n, now) for n in names), cached_on=None)
+        # Looked up afresh, as each hedge takes a slot.
+        untried = [n for n in state.open_upstreams() if n not in course.tried]
+        upstream = _second_upstream(state, untried, now)
         if upstream is None:
             continue
         if state.budget(course.ticket, course.legs[0].upstream).spend(now):
+            if not state.is_usable(upstream):
+                state.health.start_probe(upstream)
             yield course, upstream
 
 
+def _second_upstream(state: PoolState, untried: list[str], now: Seconds) -> str | None:
+    """Return where to ask again: a good upstream, else one due to be tried out."""
+    good = [name for name in untried if state.is_usable(name)]
+    upstream = choose((state.candidate(n, now) for n in good), cached_on=None)
+    if upstream is not None:
+        return upstream
+    return next((n for n in untried if state.health.wants_probe(n, now)), None)
+
+
 def stuck_on_slow(state: PoolState, now: Seconds) -> Iterator[Course]:
     """Yield streams to carry on elsewhere, as their upstream became slow."""
     if not state.tuning.move_slow:
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Mapping
 
-from shallotpoint.policy import admission, ordering, rescue
+from shallotpoint.policy import admission, ordering, placement, rescue
 from shallotpoint.policy.actions import (
     Action,
     Admission,
@@ -21,7 +21,6 @@
     Send,
     Withdraw,
 )
-from shallotpoint.policy.dispatch import choose
 from shallotpoint.policy.health import HealthBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.poison import CrashReport, PoisonBook
@@ -33,8 +32,6 @@
 from shallotpoint.types import Seconds
 
 PREPAID_TOKENS = 16  # charged when sent, so that one organisation is not sent all
-PATIENT_TTFT_S = 5.0  # classes with a later target are used for probes first
-PROBE_ANYWAY_S = 5.0  # a probe that is overdue by this may use other work
 SWEEP_S = 0.015  # least time between two looks at all that is under way
 STALL_CHECK_S = 0.25
 SUSPECT_CLEAR_S = 5.0  # a suspect that streams this long is cleared
@@ -350,67 +347,15 @@
                     state, cls, now, free=open_slots, gives_way=gives_way
                 ):
                     continue
-            upstream = self._choose_upstream(self.courses[ticket.id], free, now)
+            upstream = placement.choose_upstream(
+                state, self.courses[ticket.id], free, now
+            )
             if upstream is None:
                 continue
             state.queues[cls.name].pop()
             return self._send(self.courses[ticket.id], upstream, now)
         return None
 
-    def _choose_upstream(
-        self, course: Course, free: list[str], now: Seconds
-    ) -> str | None:
-        state = self._state
-        probe = self._probe_target(course.ticket, free, now)
-        if probe is not None:
-            return probe
-        allowed = [
-            name
-            for name in free
-            if state.is_usable(name) and self._suits_suspect(course, name)
-        ]
-        fresh = [name for name in allowed if name not in course.tried]
-        cached = None
-        if state.tuning.affinity:
-            cached = state.prefixes.upstream_for(course.ticket.prefix)
-        return choose(
-            (state.candidate(name, now) for name in fresh or allowed),
-            cached_on=cached,
-        )
-
-    def _probe_target(
-        self, ticket: Ticket, free: list[str], now: Seconds
-    ) -> str | None:
-        """Return an ejected upstream that this request may try out, if any."""
-        if not self._state.tuning.health or not ticket.idempotent:
-            return None
-        due = [name for name in free if self.health.wants_probe(name, now)]
-        if not due:
-            return None
-        all_ejected = not any(self._state.is_usable(n) for n in self.upstreams)
-        if not all_ejected and not self._may_probe(ticket, due[0], now):
-            return None
-        self.health.start_probe(due[0])
-        return due[0]
-
-    def _may_probe(self, ticket: Ticket, upstream: str, now: Seconds) -> bool:
-        """Keep probes away from work that a slow answer would hurt."""
-        cls = ticket.service_class
-        if cls.protected:
-            return False
-        if not self._state.tuning.patient_probes:
-            return True
-        if cls.ttft_s is None or cls.ttft_s >= PATIENT_TTFT_S:
-            return True
-        return now >= self.health[upstream].until_s + PROBE_ANYWAY_S
-
-    def _suits_suspect(self, course: Course, name: str) -> bool:
-        """Keep suspects apart, so that a second crash names one of them."""
-        if not course.suspect:
-            return True
-        holder = self.upstreams[name].suspect
-        return holder is None or holder == course.ticket.id
-
     def _send(
         self, course: Course, upstream: str, now: Seconds, *, hedge: bool = False
     ) -> Send:
--- a/shallotpoint/results.py
+++ b/shallotpoint/results.py
@@ -56,7 +56,6 @@
     STOPPING = 207
     UPSTREAM_REFUSED = 208
     RETRY_BUDGET_EMPTY = 209
-    DEADLINE_PASSED = 210
     REJECTED = 211
 
     UPSTREAM_BROKE = 300
@@ -236,13 +235,6 @@
         "find what makes the upstreams fail",
         retryable=True,
     ),
-    Result.DEADLINE_PASSED: _refusal(
-        504,
-        "the deadline passed before the request was sent",
-        _LATER,
-        "add capacity or move the deadline",
-        retryable=True,
-    ),
     Result.REJECTED: _refusal(
         400,
         "the upstream rejected the request as malformed",
--- a/shallotpoint/tests/test_scheduler.py
+++ b/shallotpoint/tests/test_scheduler.py
@@ -172,6 +172,33 @@
         self.assertThat(attempts, LessThan(240))
 
 
+class LastResortTests(TestCase):
+    """With the only other upstream in doubt, a stuck request must still get on."""
+
+    def one_on_a_with_b_ejected(self):
+        made = scheduler(upstreams=2, credits=1)
+        made.offer(ticket("r", COUNTER), 0.0)
+        [(_, first)] = sends(made.poll(0.0)).items()
+        other = "e1" if first == "e0" else "e0"
+        made.health.hear_slow(other, 0.1)
+        return made, first, other
+
+    def test_a_silent_stream_moves_to_the_upstream_in_doubt(self):
+        made, first, other = self.one_on_a_with_b_ejected()
+        made.progress("r", first, 1, 0.2)
+        moved = {}
+        for step in range(40):
+            moved |= sends(made.poll(0.3 + step / 10))
+        self.assertEqual({"r": other}, moved)
+
+    def test_an_overdue_first_token_is_asked_of_the_upstream_in_doubt(self):
+        made, _, other = self.one_on_a_with_b_ejected()
+        asked = {}
+        for step in range(40):
+            asked |= sends(made.poll(0.3 + step / 10))
+        self.assertEqual({"r": other}, asked)
+
+
 class FairnessTests(TestCase):
     def test_small_organisation_is_not_crowded_out(self):
         made = scheduler(upstreams=1, credits=1)
--- a/shallotpoint/upstreams/client.py
+++ b/shallotpoint/upstreams/client.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import ssl
 from collections.abc import AsyncIterator, Mapping
@@ -187,9 +186,3 @@
             raise UpstreamFailure(Result.RETRY_BROKE, "the answer is too large")
         parts.append(data)
     return b"".join(parts)
-
-
-async def cancel_and_wait(task: asyncio.Task) -> None:
-    """Cancel a task and wait until it has cleaned up."""
-    task.cancel()
-    await asyncio.wait({task})
