One verdict check for upstreams; a stand-in that is starting cannot crash

PoolState.is_usable repeated HealthBook.usable, which took a time that it did not use. make test then met an older fault once (1 of 124): the torment of the 200-caller test crashed a stand-in server between restart and listening, which has no listeners yet: AttributeError. A server that has not started is now left alone.

--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -260,7 +260,7 @@
     usable = {
         name: slots
         for name, slots in scheduler.upstreams.items()
-        if not slots.draining and scheduler.health.usable(name, now)
+        if not slots.draining and scheduler.health.usable(name)
     }
     total = scheduler.slots_wanted(now)
     held = sum(slots.credits for slots in usable.values())
--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -96,7 +96,7 @@
 
     def crash(self) -> None:
         """Close the listener and cut all connections, as a killed process does."""
-        if self._server is None:
+        if self._server is None or not self._server.started:
             return
         for listener in self._server.servers:
             listener.close()
--- a/shallotpoint/policy/health.py
+++ b/shallotpoint/policy/health.py
@@ -109,7 +109,7 @@
         """Return the median time between tokens over measured upstreams."""
         return _median(h.tbt_s for h in self._book.values() if h.tbt_s)
 
-    def usable(self, upstream: str, now: Seconds) -> bool:
+    def usable(self, upstream: str) -> bool:
         """Return whether the upstream may take ordinary work."""
         return self._book[upstream].verdict is Verdict.GOOD
 
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -7,7 +7,7 @@
 
 from shallotpoint.policy.demand import Demand
 from shallotpoint.policy.dispatch import Candidate, PrefixMap
-from shallotpoint.policy.health import HealthBook, Verdict
+from shallotpoint.policy.health import HealthBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.poison import PoisonBook
 from shallotpoint.policy.queueing import FairQueue
@@ -109,9 +109,7 @@
 
     def is_usable(self, upstream: str) -> bool:
         """Return whether an upstream may take ordinary work."""
-        if not self.tuning.health:
-            return True
-        return self.health[upstream].verdict is Verdict.GOOD
+        return not self.tuning.health or self.health.usable(upstream)
 
     def is_owed(self, class_name: str) -> bool:
         """Return whether a class has had clearly less than its share."""
