Carried-on answers neither gain nor lose tokens

What was written now counts and nothing else (AnswerSoFar), and an answer that lacks only its end gets it from the router.

Ruled out: the event splitter (tail kept across reads), two legs writing (progress withdraws the other before the write), continuation offsets.

--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 
+from shallotpoint.callers.answer import AnswerSoFar, closing_events
 from shallotpoint.callers.exchange import CallerGone
 from shallotpoint.callers.run import RequestRun
 from shallotpoint.errors import RequestError
 from shallotpoint.hashing import hash64
 from shallotpoint.results import Result
-from shallotpoint.types import JSONObject, Seconds
+from shallotpoint.types import Seconds
 from shallotpoint.upstreams.client import Outgoing, UpstreamFailure, read_all
 from shallotpoint.upstreams.sse import (
-    DeliveredText,
     EventSplitter,
     count_tokens,
     ends_stream,
@@ -57,6 +59,11 @@
         plain = not (self.tools or self.response_format or self.logprobs)
         return self.stream and plain and self.n in (None, 1)
 
+    @property
+    def limit(self) -> int | None:
+        """The most tokens that the caller wants."""
+        return self.max_tokens or self.max_completion_tokens
+
 
 _decoder = msgspec.json.Decoder(ChatRequest)
 
@@ -91,16 +98,16 @@
     def __init__(self, *args: Any, chat: ChatRequest, body: bytes):
         super().__init__(*args)
         self._chat = chat
-        self._body = body
-        self._delivered = DeliveredText()
-        self._tokens = 0
-        self._first_s: Seconds | None = None
-        self._last_s: Seconds = 0.0
+        self._answer = AnswerSoFar(
+            body, limit=chat.limit, keeps_text=self.ticket.resumable
+        )
         self._started_s = time.monotonic()
 
     async def leg(self, upstream: str, address: str) -> None:
         """Try the request on one upstream."""
-        outgoing = Outgoing("POST", CHAT_PATH, self._headers(), self._next_body())
+        outgoing = Outgoing(
+            "POST", CHAT_PATH, self._headers(), self._answer.next_body()
+        )
         client = self.services.client
         async with client.sending(address, outgoing, repeatable=True) as resp:
             self.sent = True
@@ -111,6 +118,16 @@
             else:
                 await self._relay_whole(upstream, resp)
 
+    def lacks_only_its_end(self) -> bool:
+        """Return whether the caller has all the tokens that it asked for."""
+        return self.ticket.resumable and self._answer.at_limit
+
+    async def write_end(self) -> None:
+        """End an answer that was cut after its last token."""
+        events = closing_events(self.ticket.id, self._chat.model)
+        with _caller_may_go():
+            await self.exchange.write(events, more=False)
+
     # Requests
 
     def _headers(self) -> dict[str, str]:
@@ -120,12 +137,6 @@
             "x-priority": str(self.ticket.service_class.tier),
         }
 
-    def _next_body(self) -> bytes:
-        """Return the request, or the rest of it after a break."""
-        if not self._tokens:
-            return self._body
-        return continued_body(self._body, self._delivered.text(), self._tokens)
-
     # Answers
 
     async def _pass_refusal(self, resp: Any) -> None:
@@ -138,16 +149,12 @@
     async def _relay_whole(self, upstream: str, resp: Any) -> None:
         body = await read_all(resp)
         tokens = completion_tokens(body)
+        read_s = time.monotonic()
         self.pool.progress(self.ticket.id, upstream, tokens)
-        self._count(tokens)
-        await self._write_whole(body)
-        self._note_times(upstream)
-
-    async def _write_whole(self, body: bytes) -> None:
-        try:
+        with _caller_may_go():
             await self.exchange.answer(200, body)
-        except OSError:
-            raise CallerGone from None
+        self._note_written(b"", tokens, read_s)
+        self._note_times(upstream)
 
     async def _relay_stream(self, upstream: str, resp: Any) -> None:
         splitter = EventSplitter()
@@ -158,12 +165,13 @@
                 continue
             tokens = count_tokens(events)
             done = ends_stream(events)
-            if not tokens and not self._first_s and not done:
+            if not tokens and not self._answer.tokens and not done:
                 held += events
                 continue
+            read_s = time.monotonic()
             self.pool.progress(self.ticket.id, upstream, tokens)
-            self._count(tokens)
             await self._write_events(upstream, held + events, last=done)
+            self._note_written(held + events, tokens, read_s)
             held = b""
             if done:
                 self._note_times(upstream)
@@ -185,14 +193,10 @@
                 transport.resume_reading()
 
     async def _write_events(self, upstream: str, events: bytes, *, last: bool) -> None:
-        try:
+        with _caller_may_go():
             if not self.exchange.started:
                 await self.exchange.start(200, _STREAM_HEADERS)
             await self._write_at_callers_pace(upstream, events, last=last)
-        except OSError:
-            raise CallerGone from None
-        if self.ticket.resumable and not last:
-            self._delivered.add(events)
 
     async def _write_at_callers_pace(
         self, upstream: str, events: bytes, *, last: bool
@@ -208,38 +212,29 @@
         finally:
             self.pool.hold_back(self.ticket.id, upstream, False)
 
-    def _count(self, tokens: int) -> None:
-        now = time.monotonic()
-        if self._first_s is None:
-            self._first_s = now
-        self._last_s = now
-        self._tokens += tokens
-        self.log.tokens = self._tokens
+    def _note_written(self, events: bytes, tokens: int, read_s: Seconds) -> None:
+        self._answer.add(events, tokens, read_s)
+        self.log.tokens = self._answer.tokens
 
     def _note_times(self, upstream: str) -> None:
-        if self._first_s is None:
+        first_s = self._answer.first_s
+        if first_s is None:
             return
-        tbt_s = None
-        if self._chat.stream and self._tokens > 1:
-            tbt_s = (self._last_s - self._first_s) / (self._tokens - 1)
+        tbt_s = self._answer.time_between_tokens_s() if self._chat.stream else None
         name = self.ticket.service_class.name
         metrics = self.services.metrics
-        metrics.streamed(name, upstream, self._first_s - self._started_s, tbt_s)
+        metrics.streamed(name, upstream, first_s - self._started_s, tbt_s)
         labels = {"class": name, "organisation": self.ticket.organisation}
-        metrics.tokens.add(labels, self._tokens)
-
-
-def continued_body(body: bytes, text: str, tokens: int) -> bytes:
-    """Return a request that carries an answer on after the text so far."""
-    request: JSONObject = msgspec.json.decode(body)
-    partial = {"role": "assistant", "content": text}
-    request["messages"] = [*request["messages"], partial]
-    request["continue_final_message"] = True
-    request["add_generation_prompt"] = False
-    for name in ("max_tokens", "max_completion_tokens"):
-        if request.get(name):
-            request[name] = max(1, request[name] - tokens)
-    return msgspec.json.encode(request)
+        metrics.tokens.add(labels, self._answer.tokens)
+
+
+@contextlib.contextmanager
+def _caller_may_go() -> Iterator[None]:
+    """Turn a failed write into :class:`CallerGone`."""
+    try:
+        yield
+    except OSError:
+        raise CallerGone from None
 
 
 class _Usage(msgspec.Struct):
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -73,6 +73,7 @@
             )
         )
         self.sent = False
+        self._ending = False
         self._legs: dict[str, asyncio.Task] = {}
         self._done: asyncio.Future = asyncio.get_running_loop().create_future()
         self._queued_s: Seconds = time.monotonic()
@@ -103,6 +104,14 @@
         """
         raise NotImplementedError
 
+    def lacks_only_its_end(self) -> bool:
+        """Return whether the caller has the whole answer but for its end."""
+        return False
+
+    async def write_end(self) -> None:
+        """Write the end of such an answer."""
+        raise NotImplementedError
+
     # What the scheduler wants
 
     def send(self, upstream: str, *, hedge: bool) -> None:
@@ -153,11 +162,16 @@
             self._settle(CallerGone())
 
     async def _leg_task(self, upstream: str, address: str) -> None:
+        if self.lacks_only_its_end():
+            await self._end_answer()
+            return
         try:
             await self.leg(upstream, address)
         except UpstreamFailure as exc:
             self._legs.pop(upstream, None)
             self._leg_failed(upstream, exc)
+            if self.lacks_only_its_end():
+                await self._end_answer()
         except asyncio.CancelledError:
             raise
         except (CallerGone, RequestError) as exc:
@@ -178,6 +192,8 @@
         verdict = self.pool.failed(
             self.ticket.id, upstream, exc.reason, may_retry=self.may_retry()
         )
+        if self.lacks_only_its_end():
+            return
         if verdict is None:
             reason = exc.reason
             if not exc.not_run:
@@ -187,6 +203,18 @@
             return
         self._settle(self.final_error(verdict, exc))
 
+    async def _end_answer(self) -> None:
+        """Write the end once, whichever leg comes to it first."""
+        if self._ending:
+            return
+        self._ending = True
+        try:
+            await self.write_end()
+        except CallerGone as exc:
+            self._settle(exc)
+        else:
+            self._settle(None)
+
     def may_retry(self) -> bool:
         """Return whether another attempt is allowed after one was sent."""
         return self.ticket.idempotent
--- a/shallotpoint/standins/engine.py
+++ b/shallotpoint/standins/engine.py
@@ -209,13 +209,18 @@
             for index in range(generation.count):
                 await asyncio.sleep(wait_s)
                 await self._pause()
-                if 0 < self.faults.crash_after_tokens <= index:
-                    raise SimulatedCrash("crashed after tokens")
+                self._crash_after(index)
                 yield generation.word(index)
                 wait_s = self.timing.token_time_s(
                     self._batch.running, slow_factor=self.faults.slow_factor
                 )
 
+            self._crash_after(generation.count)
+
+    def _crash_after(self, tokens: int) -> None:
+        if 0 < self.faults.crash_after_tokens <= tokens:
+            raise SimulatedCrash("crashed after tokens")
+
     async def _pause(self) -> None:
         while self.faults.hang:
             await asyncio.sleep(_POLL_S)
--- a/shallotpoint/tests/test_path.py
+++ b/shallotpoint/tests/test_path.py
@@ -152,6 +152,17 @@
         wanted = [(200, expected_text(f"r{i} a b c", 30), True) for i in range(4)]
         self.assertEqual(wanted, found)
 
+    def test_a_break_between_the_last_token_and_the_end_adds_nothing(self):
+        async def main(made, session):
+            for engine in made.engines:
+                engine.faults.crash_after_tokens = 12
+            return await self.stream(made, session, "r a b c", 12)
+
+        status, raw = self.with_fleet(main)
+        self.assertEqual((200, expected_text("r a b c", 12)), (status, text_of(raw)))
+        self.assertIn(b'"finish_reason":"length"', raw)
+        self.assertTrue(raw.endswith(b"data: [DONE]\n\n"))
+
     def test_a_stream_that_falls_silent_is_carried_on(self):
         async def main(made, session):
             call = asyncio.create_task(self.stream(made, session, "r a b c", 100))
