Peers: a cancel that races with a finished pynng operation is not lost

Cause: pynng cancels by nng_aio_cancel and then looks only at the result, so when a message arrived in the same moment the cancel disappeared: an answering task waited for ever at stop, and a timed-out request went on to a receive without any limit. Seen as a 60 s timeout in the fleet's teardown under load; found from its stack. Before: three tests that block the loop until the operation has finished hang for 5 s each. After: all three pass. Ruled out: the fleet's own teardown order.

--- a/shallotpoint/coordination/transport.py
+++ b/shallotpoint/coordination/transport.py
@@ -7,7 +7,7 @@
 import hashlib
 import hmac
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import pynng
 
@@ -17,6 +17,7 @@
 MAX_MESSAGE_BYTES = 4 << 20
 CONTEXTS = 8  # requests that one member answers at once
 
+T = TypeVar("T")
 Handler = Callable[[bytes], Awaitable[bytes]]
 
 
@@ -83,8 +84,8 @@
         try:
             with socket.new_context() as context:
                 async with asyncio.timeout(timeout_s):
-                    await context.asend(self._sealer.seal(message))
-                    reply = await context.arecv()
+                    await _cancellable(context.asend(self._sealer.seal(message)))
+                    reply = await _cancellable(context.arecv())
         except (pynng.NNGException, TimeoutError) as exc:
             raise TransportError(f"{address} gave no reply: {exc!r}") from exc
         return self._sealer.open(reply)
@@ -132,12 +133,22 @@
         with context:
             while True:
                 try:
-                    sealed = await context.arecv()
+                    sealed = await _cancellable(context.arecv())
                     reply = await handler(self._sealer.open(sealed))
-                    await context.asend(self._sealer.seal(reply))
+                    await _cancellable(context.asend(self._sealer.seal(reply)))
                 except TransportError:
                     self.rejected += 1
                 except pynng.Closed:
                     return
                 except pynng.NNGException:
                     await asyncio.sleep(0.01)
+
+
+async def _cancellable(operation: Awaitable[T]) -> T:
+    """Await an operation of pynng, which hides a cancel that comes as it ends."""
+    task = asyncio.current_task()
+    cancels = task.cancelling() if task else 0
+    result = await operation
+    if task and task.cancelling() > cancels:
+        raise asyncio.CancelledError
+    return result
--- /dev/null
+++ b/shallotpoint/tests/test_transport.py
@@ -0,0 +1,76 @@
+"""Request and reply over pynng, where a cancel races with a finished operation."""
+
+import asyncio
+import time
+
+import pynng
+
+from shallotpoint.coordination.transport import (
+    NngTransport,
+    Sealer,
+    TransportError,
+)
+from shallotpoint.testing.cases import TestCase
+
+SEALER = Sealer(b"secret")
+SETTLE_S = 0.2  # blocks the loop until the sockets' own threads have finished
+
+
+async def echo(message):
+    return message
+
+
+class CancelRaceTests(TestCase):
+    def test_stopping_while_a_request_arrives_ends(self):
+        async def main():
+            transport = NngTransport(SEALER)
+            async with transport.listening("127.0.0.1:0", echo) as address:
+                await asyncio.sleep(0.05)
+                with pynng.Req0() as caller:
+                    caller.dial(f"tcp://{address}", block=True)
+                    caller.send(SEALER.seal(b"hello"))
+                    time.sleep(SETTLE_S)
+            return "stopped"
+
+        self.assertEqual("stopped", self.run_async(main(), timeout_s=5.0))
+
+    def test_a_request_that_is_sent_as_its_time_ends_is_given_up(self):
+        async def main():
+            transport = NngTransport(SEALER)
+            with pynng.Rep0() as silent:
+                port = silent.listen("tcp://127.0.0.1:0").local_address
+                address = str(port).removeprefix("tcp://")
+                transport._socket(address)
+                await asyncio.sleep(SETTLE_S)
+                asking = asyncio.create_task(
+                    transport.request(address, b"hello", timeout_s=SETTLE_S / 2)
+                )
+                await asyncio.sleep(0)
+                time.sleep(SETTLE_S)
+                try:
+                    await asyncio.wait_for(asking, 2.0)
+                except TransportError:
+                    return "given up"
+                finally:
+                    transport.close()
+
+        self.assertEqual("given up", self.run_async(main(), timeout_s=5.0))
+
+    def test_a_cancel_hidden_by_a_reply_still_ends_the_caller(self):
+        async def main():
+            transport = NngTransport(SEALER)
+            with pynng.Rep0() as peer:
+                port = peer.listen("tcp://127.0.0.1:0").local_address
+                address = str(port).removeprefix("tcp://")
+                asking = asyncio.create_task(
+                    transport.request(address, b"hello", timeout_s=5.0)
+                )
+                peer_got = await peer.arecv()
+                peer.send(peer_got)
+                time.sleep(SETTLE_S)
+                asking.cancel()
+                await asyncio.wait({asking})
+                transport.close()
+                return asking.cancelled()
+
+        self.assertTrue(self.run_async(main(), timeout_s=5.0))
