--- a/shallotpoint/tests/test_transport.py
+++ b/shallotpoint/tests/test_transport.py
@@ -13,7 +13,12 @@
 from shallotpoint.testing.cases import TestCase
 
 SEALER = Sealer(b"secret")
-SETTLE_S = 0.2  # blocks the loop until the sockets' own threads have finished
+SETTLE_S = 0.2
+
+
+def let_sockets_finish():
+    """Hold up the event loop until the sockets' own threads are done."""
+    time.sleep(SETTLE_S)
 
 
 async def echo(message):
@@ -29,7 +34,7 @@
                 with pynng.Req0() as caller:
                     caller.dial(f"tcp://{address}", block=True)
                     caller.send(SEALER.seal(b"hello"))
-                    time.sleep(SETTLE_S)
+                    let_sockets_finish()
             return "stopped"
 
         self.assertEqual("stopped", self.run_async(main(), timeout_s=5.0))
@@ -46,7 +51,7 @@
                     transport.request(address, b"hello", timeout_s=SETTLE_S / 2)
                 )
                 await asyncio.sleep(0)
-                time.sleep(SETTLE_S)
+                let_sockets_finish()
                 try:
                     await asyncio.wait_for(asking, 2.0)
                 except TransportError:
@@ -67,7 +72,7 @@
                 )
                 peer_got = await peer.arecv()
                 peer.send(peer_got)
-                time.sleep(SETTLE_S)
+                let_sockets_finish()
                 asking.cancel()
                 await asyncio.wait({asking})
                 transport.close()
