Peers: credit rows travel in parts, one per upstream

Cause: any change of one upstream's use sent the whole row, with the counters of all upstreams and peers. A row is now cut by upstream and only changed parts are published; the reader keeps what is addressed to it. Safe as one upstream's counters depend on no other part and a board hands on rows in order of their numbers; shown by a property test.

--- a/shallotpoint/bench/fleet.py
+++ b/shallotpoint/bench/fleet.py
@@ -16,12 +16,12 @@
 from dataclasses import dataclass
 from functools import partial
 
-import msgspec
-
 from shallotpoint.bench.cli import register
 from shallotpoint.bench.policy_bench import print_line
 from shallotpoint.bench.report import percentile
+from shallotpoint.controllers.sections import pool_of
 from shallotpoint.coordination.config import ConfigState, ConfigStore, Edit
+from shallotpoint.coordination.credit_parts import PartReader, PartWriter
 from shallotpoint.coordination.credit_rows import PeerCredits
 from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board
@@ -229,13 +229,15 @@
         board = Board(name, 1)
         holder = _ConfigHolder()
         transport = NngTransport(Sealer(b"bench"))
-        ledger = CreditLedger(name, 1, settle_s=0.0)
+        ledger = CreditLedger(name, 1, settle_s=0.0, group_of=pool_of)
 
-        def take(rows, ledger=ledger) -> None:
+        def take(rows, ledger=ledger, reader=PartReader(name)) -> None:
             for row in rows:
-                credits = msgspec.msgpack.decode(row.payload, type=_ROW)
-                peer = PeerCredits(row.incarnation, credits)
-                ledger.hear(row.origin, peer, now=time.monotonic())
+                reader.take(row.origin, row.incarnation, row.topic, row.payload)
+            for origin in {row.origin for row in rows}:
+                credits = reader.row(origin)
+                if credits is not None:
+                    ledger.hear(origin, credits, now=time.monotonic())
 
         async def answer(raw: bytes) -> bytes:
             return raw
@@ -261,6 +263,7 @@
 async def _control(node: _Node, names: list[str], addresses: dict[str, str]) -> None:
     """Tick credits with changing use, and exchange with the neighbours."""
     rng = random.Random(node.board.name)
+    writer = PartWriter()
     chosen = neighbours(node.board.name, names)
     targets = {n: addresses[n] for n in chosen}
     exchanging = asyncio.create_task(node.peers.run(lambda: targets, every_s=GOSSIP_S))
@@ -270,16 +273,13 @@
             for key in rng.sample(sorted(node.ledger.row(now=now).use), 5):
                 node.ledger.set_use(key, wanted=rng.randint(0, 3), running=0)
             node.ledger.rebalance(now=now)
-            payload = msgspec.msgpack.encode(node.ledger.row(now=now))
-            node.board.publish("credits", payload, now=now)
+            for topic, part in writer.changed(node.ledger.row(now=now)).items():
+                node.board.publish(topic, part, now=now)
             await asyncio.sleep(GOSSIP_S)
     finally:
         exchanging.cancel()
 
 
-_ROW = type(CreditLedger("x", 1).row(now=0.0))
-
-
 async def _stored_size() -> None:
     """Print the sizes of the configuration at the target."""
     kv = MemoryKeyValue(clock=time.monotonic, rng=random.Random(7))
--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -16,20 +16,22 @@
     HostsSection,
     credit_key,
 )
-from shallotpoint.coordination.credit_rows import CreditRow, PeerCredits
+from shallotpoint.coordination.credit_parts import (
+    PartReader,
+    PartWriter,
+    is_credit_topic,
+)
+from shallotpoint.coordination.credit_rows import CreditRow
 from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board, Row
 from shallotpoint.policy.poison import CrashReport
 from shallotpoint.types import Clock, Seconds
 
-CREDITS_TOPIC = "credits"
 CRASHES_TOPIC = "crashes"
 SLOW_TOPIC = "slow"
 TICK_S = 0.1
 MIN_TICK_S = 0.03
 
-_rows = msgspec.msgpack.Decoder(CreditRow)
-
 
 class _WireCrash(msgspec.Struct, frozen=True, array_like=True):
     """A crash report on the wire; its age replaces the clock of the sender."""
@@ -73,6 +75,8 @@
         self._on_news = on_news
         self._write = board.claim(CreditsSection, "sharing")
         self._published: CreditRow | None = None
+        self._reader = PartReader(name)
+        self._writer = PartWriter()
         self._ticked_s: Seconds = 0.0
         self._due = asyncio.Event()
         self._crashes: list[CrashReport] = []
@@ -82,12 +86,11 @@
     def take_rows(self, rows: Sequence[Row]) -> None:
         """Take in rows that came from peers."""
         now = self._clock()
-        wanted_urgently = False
+        changed: set[str] = set()
         for row in rows:
-            if row.topic == CREDITS_TOPIC:
-                credits = PeerCredits(row.incarnation, _rows.decode(row.payload))
-                self._ledger.hear(row.origin, credits, now=now)
-                wanted_urgently |= bool(_lacks(credits.row))
+            if is_credit_topic(row.topic):
+                self._reader.take(row.origin, row.incarnation, row.topic, row.payload)
+                changed.add(row.origin)
             elif row.topic == CRASHES_TOPIC:
                 for crash in _crashes.decode(row.payload):
                     at_s = now - crash.age_s
@@ -96,9 +99,19 @@
             elif row.topic == SLOW_TOPIC:
                 verdict = _slow.decode(row.payload)
                 self._pools.hear_slow(verdict.pool, verdict.upstream)
-        if wanted_urgently:
+        if self._hear(changed, now):
             self.tick_soon()
 
+    def _hear(self, origins: Iterable[str], now: Seconds) -> bool:
+        """Give peers' rows to the ledger; return whether any peer lacks units."""
+        lacking = False
+        for origin in origins:
+            credits = self._reader.row(origin)
+            if credits is not None:
+                self._ledger.hear(origin, credits, now=now)
+                lacking |= bool(_lacks(credits.row))
+        return lacking
+
     def crashed(self, report: CrashReport) -> None:
         """Spread a crash that was seen here."""
         now = self._clock()
@@ -145,8 +158,8 @@
         if row != self._published:
             urgent = moved or _lacks(row) != _lacks(self._published)
             self._published = row
-            payload = msgspec.msgpack.encode(row)
-            self._gossip.publish(CREDITS_TOPIC, payload, now=now)
+            for topic, payload in self._writer.changed(row).items():
+                self._gossip.publish(topic, payload, now=now)
             if urgent:
                 self._on_news()
         self._publish_held(row, now)
@@ -173,7 +186,7 @@
         routers = {*self._board.get(HostsSection).routers(), self._name}
         self._ledger.configure(capacities, routers, now=self._clock())
         # Rows that came before their router was listed were not taken in.
-        self.take_rows(list(self._gossip.rows(CREDITS_TOPIC)))
+        self._hear(routers, self._clock())
         self.tick()
 
 
--- a/shallotpoint/coordination/credits.py
+++ b/shallotpoint/coordination/credits.py
@@ -510,7 +510,7 @@
     def _unseen_by(self, peer: str, name: str) -> int:
         """Return lent units that the peer's row cannot show yet."""
         granted = self._granted.get(peer, {}).get(name, 0)
-        return max(0, granted - self._taken_by(peer, name).seen)
+        return max(0, granted - self._taken_by(peer, name).seen) if granted else 0
 
 
 def _next_change_s(state: _Upstream, now: Seconds) -> Seconds:
--- /dev/null
+++ b/shallotpoint/tests/test_credit_parts.py
@@ -0,0 +1,60 @@
+"""Rows in parts are as good as rows sent whole."""
+
+from hypothesis import given, strategies as st
+from testtools.matchers import Equals, LessThan
+
+from shallotpoint.coordination.credit_parts import PartReader, PartWriter, split
+from shallotpoint.coordination.credit_rows import CreditRow, Taken, Use
+from shallotpoint.testing.cases import TestCase
+
+upstreams = st.sampled_from(["u1", "u2", "u3"])
+addresses = st.sampled_from(["me#1", "me#2", "other#1"])
+counts = st.integers(0, 5)
+rows = st.builds(
+    CreditRow,
+    use=st.dictionaries(upstreams, st.builds(Use, counts, counts, counts, counts)),
+    granted=st.dictionaries(addresses, st.dictionaries(upstreams, counts)),
+    taken=st.dictionaries(
+        addresses, st.dictionaries(upstreams, st.builds(Taken, counts, counts))
+    ),
+    view=counts,
+    known=st.dictionaries(st.sampled_from(["me", "other"]), counts),
+)
+
+
+def as_seen_by_me(row):
+    """The part of a row that the member ``me`` goes by, in listed upstreams."""
+
+    def mine(counters):
+        kept = {a: {u: c for u, c in m.items() if u in row.use} for a, m in counters}
+        return {a: m for a, m in kept.items() if m and a.startswith("me#")}
+
+    granted, taken = mine(row.granted.items()), mine(row.taken.items())
+    return CreditRow(row.use, granted, taken, row.view, row.known)
+
+
+class PartsTests(TestCase):
+    @given(st.lists(rows, min_size=1, max_size=6))
+    def test_changed_parts_add_up_to_the_last_row(self, history):
+        writer, reader = PartWriter(), PartReader("me")
+        for row in history:
+            for topic, payload in writer.changed(row).items():
+                reader.take("one", 1, topic, payload)
+            assert reader.row("one").row == as_seen_by_me(row)
+
+    def test_a_restart_voids_the_parts_of_the_start_before(self):
+        reader = PartReader("me")
+        for incarnation, name in ((1, "u1"), (2, "u2"), (1, "u1")):
+            row = CreditRow(use={name: Use(held=1)})
+            for topic, payload in split(row).items():
+                reader.take("one", incarnation, topic, payload)
+        credits = reader.row("one")
+        self.assertThat((credits.incarnation, [*credits.row.use]), Equals((2, ["u2"])))
+
+    def test_one_change_among_many_upstreams_is_small(self):
+        use = {f"u{i}": Use(held=1) for i in range(100)}
+        writer = PartWriter()
+        whole = sum(map(len, writer.changed(CreditRow(use)).values()))
+        changed = writer.changed(CreditRow({**use, "u7": Use(held=2)}))
+        self.assertEqual(["credits:u7"], list(changed))
+        self.assertThat(sum(map(len, changed.values())), LessThan(whole / 50))
