Answers without a stream are carried on below the first tier

Cause: a break or a preemption threw away what an engine had generated for a request without stream, and such requests could not give way at all. They are asked for as a stream and gathered; a plain request of tier two or lower only, as the first tier gives way to nobody. After: 20 asked of the next engine, answer and token count whole (test over sockets).

--- a/shallotpoint/callers/answer.py
+++ b/shallotpoint/callers/answer.py
@@ -65,6 +65,31 @@
             return None
         return (self._last_s - self.first_s) / (self.tokens - 1)
 
+    def whole(self, request_id: str, model: str, *, created: int) -> bytes:
+        """Return the gathered events as the answer to a request without stream.
+
+        The completion's tokens are counted here, as an engine that carried the
+        answer on knows only its own.
+        """
+        seen = self._delivered or DeliveredText()
+        message = {"role": "assistant", "content": seen.text()}
+        if reasoning := seen.reasoning():
+            message["reasoning_content"] = reasoning
+        finish = seen.finish_reason() or "length"
+        answer: JSONObject = {
+            "id": f"chatcmpl-{request_id}",
+            "object": "chat.completion",
+            "created": created,
+            "model": model,
+            "choices": [{"index": 0, "message": message, "finish_reason": finish}],
+        }
+        usage = seen.usage()
+        if usage is not None:
+            prompt = int(usage.get("prompt_tokens", 0))
+            counted = {"completion_tokens": self.tokens}
+            answer["usage"] = {**usage, **counted, "total_tokens": prompt + self.tokens}
+        return msgspec.json.encode(answer)
+
     def next_body(self) -> bytes:
         """Return the request, or the request for the rest of the answer."""
         if not self.tokens:
@@ -72,6 +97,14 @@
         return continued_body(self._body, self.text(), self.tokens)
 
 
+def streamed_body(body: bytes) -> bytes:
+    """Return a request for the same answer as a stream with its usage."""
+    request: JSONObject = msgspec.json.decode(body)
+    request["stream"] = True
+    request["stream_options"] = {"include_usage": True}
+    return msgspec.json.encode(request)
+
+
 def continued_body(body: bytes, text: str, tokens: int) -> bytes:
     """Return a request that carries an answer on after the text so far."""
     request: JSONObject = msgspec.json.decode(body)
--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from shallotpoint.callers.answer import AnswerSoFar, closing_events
+from shallotpoint.callers.answer import AnswerSoFar, closing_events, streamed_body
 from shallotpoint.callers.exchange import CallerGone
 from shallotpoint.callers.run import RequestRun
 from shallotpoint.errors import RequestError
@@ -53,11 +53,14 @@
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
 
-    @property
-    def resumable(self) -> bool:
-        """Whether a broken answer can be carried on from its text."""
+    def resumable(self, *, tier: int) -> bool:
+        """Return whether a broken answer can be carried on from its text.
+
+        For the first tier an answer without stream passes through as it is: it
+        gives way to nobody, and gathering costs more than it saves.
+        """
         plain = not (self.tools or self.response_format or self.logprobs)
-        return self.stream and plain and self.n in (None, 1)
+        return plain and self.n in (None, 1) and (self.stream or tier > 1)
 
     @property
     def limit(self) -> int | None:
@@ -98,6 +101,9 @@
     def __init__(self, *args: Any, chat: ChatRequest, body: bytes):
         super().__init__(*args)
         self._chat = chat
+        self._gathers = self.ticket.resumable and not chat.stream
+        if self._gathers:
+            body = streamed_body(body)
         self._answer = AnswerSoFar(
             body, limit=chat.limit, keeps_text=self.ticket.resumable
         )
@@ -113,7 +119,7 @@
             self.sent = True
             if resp.status != 200:
                 await self._pass_refusal(resp)
-            elif self._chat.stream:
+            elif self._chat.stream or self._gathers:
                 await self._relay_stream(upstream, resp)
             else:
                 await self._relay_whole(upstream, resp)
@@ -124,9 +130,12 @@
 
     async def write_end(self) -> None:
         """End an answer that was cut after its last token."""
-        events = closing_events(self.ticket.id, self._chat.model)
         with _caller_may_go():
-            await self.exchange.write(events, more=False)
+            if self._gathers:
+                await self._answer_gathered()
+            else:
+                events = closing_events(self.ticket.id, self._chat.model)
+                await self.exchange.write(events, more=False)
 
     # Requests
 
@@ -170,15 +179,24 @@
                 continue
             read_s = time.monotonic()
             self.pool.progress(self.ticket.id, upstream, tokens)
-            await self._write_events(upstream, held + events, last=done)
+            if not self._gathers:
+                await self._write_events(upstream, held + events, last=done)
             self._note_written(held + events, tokens, read_s)
             held = b""
             if done:
+                if self._gathers:
+                    await self.write_end()
                 self._note_times(upstream)
                 return
             await self._let_tokens_gather(resp)
         raise UpstreamFailure(Result.RETRY_BROKE, "the stream ended early")
 
+    async def _answer_gathered(self) -> None:
+        body = self._answer.whole(
+            self.ticket.id, self._chat.model, created=int(time.time())
+        )
+        await self.exchange.answer(200, body)
+
     async def _let_tokens_gather(self, resp: Any) -> None:
         """Leave tokens that come fast in the kernel, for one read and one write."""
         conn = resp.connection
@@ -220,7 +238,7 @@
         first_s = self._answer.first_s
         if first_s is None:
             return
-        tbt_s = self._answer.time_between_tokens_s() if self._chat.stream else None
+        tbt_s = self._answer.time_between_tokens_s()
         name = self.ticket.service_class.name
         metrics = self.services.metrics
         metrics.streamed(name, upstream, first_s - self._started_s, tbt_s)
--- a/shallotpoint/standins/engine.py
+++ b/shallotpoint/standins/engine.py
@@ -6,6 +6,7 @@
 import contextlib
 import heapq
 import time
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,6 +29,7 @@
 
 _PREFIX_CHARS = 256
 _POLL_S = 0.02
+_GENERATIONS_KEPT = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +156,7 @@
         self.orders = Orders(checks_fence, loaded=dict.fromkeys(models, "base"))
         self.crash = crash
         self.started = 0
+        self.generations: deque[Generation] = deque(maxlen=_GENERATIONS_KEPT)
         self._batch = _Batch(self.timing.slots)
         self._cache = PrefixCache(self.timing.prefixes)
         self._reports: list[tuple[Seconds, JSONObject]] = []
@@ -183,6 +186,7 @@
             return _error(404, f"model {generation.model!r} is not loaded")
         self._maybe_crash(generation)
         self.started += 1
+        self.generations.append(generation)
         tokens = self._generate(generation)
         if body.get("stream"):
             stream = self._stream(body, generation, tokens)
--- a/shallotpoint/tests/test_path.py
+++ b/shallotpoint/tests/test_path.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 import openai
-from testtools.matchers import Contains, Equals, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from shallotpoint.bench.load import expected_text
 from shallotpoint.daemons.demo import MODEL, FleetPlan, fleet, start_router
@@ -152,6 +152,31 @@
         wanted = [(200, expected_text(f"r{i} a b c", 30), True) for i in range(4)]
         self.assertEqual(wanted, found)
 
+    def test_a_broken_answer_without_stream_is_carried_on_whole(self):
+        async def main(made, session):
+            made.engines[0].faults.crash_after_tokens = 10
+            async with client(made) as api:
+                calls = [
+                    api.chat.completions.create(
+                        **chat(f"r{i} a b c", 30),
+                        extra_headers={"x-shallotpoint-class": "overnight"},
+                    )
+                    for i in range(4)
+                ]
+                answers = await asyncio.gather(*calls)
+            found = [
+                (a.choices[0].message.content, a.usage.completion_tokens)
+                for a in answers
+            ]
+            lasted = [g.count for e in made.engines for g in e.generations]
+            return found, made.engines[0].started, lasted
+
+        found, broken, asked = self.with_fleet(main)
+        wanted = [(expected_text(f"r{i} a b c", 30), 30) for i in range(4)]
+        self.assertEqual(wanted, found)
+        self.assertThat(broken, GreaterThan(0))
+        self.assertIn(20, asked)
+
     def test_a_break_between_the_last_token_and_the_end_adds_nothing(self):
         async def main(made, session):
             for engine in made.engines:
--- a/shallotpoint/upstreams/sse.py
+++ b/shallotpoint/upstreams/sse.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
+from typing import Any
 
 import msgspec
 
@@ -18,6 +20,7 @@
 
 class _Delta(msgspec.Struct):
     content: str | None = None
+    reasoning_content: str | None = None
 
 
 class _Choice(msgspec.Struct):
@@ -27,6 +30,7 @@
 
 class _Chunk(msgspec.Struct):
     choices: list[_Choice] = []
+    usage: dict[str, Any] | None = None
 
 
 _decoder = msgspec.json.Decoder(_Chunk)
@@ -45,16 +49,18 @@
 
 def text_of(events: bytes) -> str:
     """Return the text that whole events carry; malformed events are skipped."""
-    parts = []
+    chunks = _chunks(events)
+    return "".join(c.delta.content or "" for chunk in chunks for c in chunk.choices)
+
+
+def _chunks(events: bytes) -> Iterator[_Chunk]:
     for line in events.split(b"\n"):
         if not line.startswith(b"data: {"):
             continue
         try:
-            chunk = _decoder.decode(line[6:])
+            yield _decoder.decode(line[6:])
         except msgspec.DecodeError:
             continue
-        parts += [c.delta.content for c in chunk.choices if c.delta.content]
-    return "".join(parts)
 
 
 class EventSplitter:
@@ -85,15 +91,18 @@
 
 
 class DeliveredText:
-    """The text that a caller has been sent so far, kept in little memory."""
+    """What the events of an answer said so far, kept in little memory."""
 
     def __init__(self) -> None:
         self._parts: list[str] = []
+        self._reasoning: list[str] = []
+        self._finish: str | None = None
+        self._usage: dict[str, Any] | None = None
         self._events: list[bytes] = []
         self._size = 0
 
     def add(self, events: bytes) -> None:
-        """Note events that were sent to the caller."""
+        """Note whole events."""
         self._events.append(events)
         self._size += len(events)
         if self._size >= FOLD_BYTES:
@@ -104,8 +113,31 @@
         self._fold()
         return "".join(self._parts)
 
+    def reasoning(self) -> str:
+        """Return all text that engines send apart from the answer's."""
+        self._fold()
+        return "".join(self._reasoning)
+
+    def finish_reason(self) -> str | None:
+        """Return why the answer ended, once it has."""
+        self._fold()
+        return self._finish
+
+    def usage(self) -> dict[str, Any] | None:
+        """Return the last count of tokens that an engine gave."""
+        self._fold()
+        return self._usage
+
     def _fold(self) -> None:
-        if self._events:
-            self._parts.append(text_of(b"".join(self._events)))
-            self._events.clear()
-            self._size = 0
+        if not self._events:
+            return
+        for chunk in _chunks(b"".join(self._events)):
+            self._usage = chunk.usage or self._usage
+            for choice in chunk.choices:
+                self._parts.append(choice.delta.content or "")
+                self._reasoning.append(choice.delta.reasoning_content or "")
+                self._finish = choice.finish_reason or self._finish
+        self._parts = ["".join(self._parts)]
+        self._reasoning = ["".join(self._reasoning)]
+        self._events.clear()
+        self._size = 0
