--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -27,6 +27,7 @@
 CHAT_PATH = "/v1/chat/completions"
 PREFIX_CHARS = 256  # prompts that share this much likely share cached work
 MERGE_S = 0.036  # least time between two writes; below the usual pace of tokens
+GATHER_FROM_TOKENS = 20  # an answer that cannot be this long is not gathered
 _STREAM_HEADERS = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
     (b"cache-control", b"no-cache"),
@@ -56,11 +57,13 @@
     def resumable(self, *, tier: int) -> bool:
         """Return whether a broken answer can be carried on from its text.
 
-        For the first tier an answer without stream passes through as it is: it
-        gives way to nobody, and gathering costs more than it saves.
+        Without stream, an answer passes through as it is where gathering it would
+        cost more than it saves: it is short, or of the first tier, which gives
+        way to nobody.
         """
         plain = not (self.tools or self.response_format or self.logprobs)
-        return plain and self.n in (None, 1) and (self.stream or tier > 1)
+        worth = tier > 1 and (self.limit or GATHER_FROM_TOKENS) >= GATHER_FROM_TOKENS
+        return plain and self.n in (None, 1) and (self.stream or worth)
 
     @property
     def limit(self) -> int | None:
