--- a/shallotpoint/coordination/credit_rows.py
+++ b/shallotpoint/coordination/credit_rows.py
@@ -146,6 +146,32 @@
     return owners
 
 
+def part_of_lack(me: str, lack: int, spare: Mapping[str, int], *, salt: str) -> int:
+    """Return how many units of a lack one member covers.
+
+    All see the same lack, so each works out who gives what: one unit each, those
+    with most to spare first, until it is covered.
+
+    Examples
+    --------
+    >>> [part_of_lack(m, 3, {"a": 3, "b": 1}, salt="") for m in "ab"]
+    [2, 1]
+    """
+    left = {member: count for member, count in spare.items() if count > 0}
+    order = sorted(left, key=lambda m: (-left[m], rendezvous_score(m, salt)))
+    part = 0
+    while lack > 0 and order:
+        for member in list(order):
+            if lack <= 0:
+                break
+            lack -= 1
+            left[member] -= 1
+            part += member == me
+            if left[member] <= 0:
+                order.remove(member)
+    return part
+
+
 def member_to_help(name: str, rooms: Mapping[str, int], *, salt: str) -> str | None:
     """Return the member with little room that this one makes room at, if any.
 
--- a/shallotpoint/coordination/credits.py
+++ b/shallotpoint/coordination/credits.py
@@ -18,8 +18,8 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 
+from shallotpoint.coordination._credit_state import Frozen, Peer, Unit, Upstream
 from shallotpoint.coordination.credit_rows import (
     AMPLE_ROOM,
     CreditRow,
@@ -29,8 +29,8 @@
     Use,
     member_to_help,
     owners_of,
+    part_of_lack,
 )
-from shallotpoint.coordination.overlay import rendezvous_score
 from shallotpoint.hashing import hash64
 from shallotpoint.types import Seconds
 
@@ -38,48 +38,6 @@
 IDLE_BEFORE_RETURN_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Peer:
-    """What a peer's last row says to this member."""
-
-    incarnation: int
-    use: Mapping[str, Use]
-    granted: Mapping[str, int]
-    taken: Mapping[str, Taken]
-    view: int
-    knows_me: bool
-
-
-@dataclass(slots=True)
-class _Unit:
-    """One owned unit: usable from a time on, once all peers know of the owner."""
-
-    from_s: Seconds
-    agreed: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class _Frozen:
-    """Units lent to a peer that is no longer listed, unused for a while."""
-
-    count: int
-    until_s: Seconds
-
-
-@dataclass(slots=True)
-class _Upstream:
-    capacity: int
-    owned: dict[int, _Unit] = field(default_factory=dict)
-    wanted: int = 0
-    running: int = 0
-    urgent: int = 0
-    promised: int = 0
-    held: int | None = None
-    held_until_s: Seconds = 0.0
-    idle_since_s: Seconds | None = None
-    frozen: list[_Frozen] = field(default_factory=list)
-
-
 class CreditLedger:
     """One member's units of all upstreams.
 
@@ -121,10 +79,10 @@
         self._group_of = group_of
         self.incarnation = incarnation
         self._settle_s = settle_s
-        self._upstreams: dict[str, _Upstream] = {}
+        self._upstreams: dict[str, Upstream] = {}
         self._members: tuple[str, ...] = ()
         self._own_address = f"{name}#{incarnation}"
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Peer] = {}
         self._view = 0
         self._agreed = False
         self._delays: dict[str, Delay] = {}
@@ -142,7 +100,7 @@
         for name in self._upstreams.keys() - capacities.keys():
             del self._upstreams[name]
         for name, capacity in capacities.items():
-            upstream = self._upstreams.setdefault(name, _Upstream(capacity))
+            upstream = self._upstreams.setdefault(name, Upstream(capacity))
             upstream.capacity = capacity
             self._own(name, upstream, now)
             upstream.held = None
@@ -164,7 +122,7 @@
         elif known is not None and credits.incarnation < known.incarnation:
             return
         row = credits.row
-        heard = _Peer(
+        heard = Peer(
             credits.incarnation,
             row.use,
             row.granted.get(self._own_address, {}),
@@ -204,7 +162,7 @@
             state.held_until_s = _next_change_s(state, now)
         return state.held
 
-    def _count_held(self, upstream: str, state: _Upstream, now: Seconds) -> int:
+    def _count_held(self, upstream: str, state: Upstream, now: Seconds) -> int:
         owned = sum(1 for u in state.owned.values() if u.agreed and u.from_s <= now)
         state.frozen = [f for f in state.frozen if f.until_s > now]
         away = sum(f.count for f in state.frozen)
@@ -258,13 +216,13 @@
 
     # Ownership
 
-    def _own(self, name: str, upstream: _Upstream, now: Seconds) -> None:
+    def _own(self, name: str, upstream: Upstream, now: Seconds) -> None:
         owners = owners_of(name, upstream.capacity, self._members)
         mine = {index for index, owner in enumerate(owners) if owner == self.name}
         for index in upstream.owned.keys() - mine:
             del upstream.owned[index]
         for index in mine - upstream.owned.keys():
-            upstream.owned[index] = _Unit(now + self._settle_s, self._agreed)
+            upstream.owned[index] = Unit(now + self._settle_s, self._agreed)
 
     def _note_agreement(self) -> None:
         """Free owned units for use once every listed peer goes by the same view.
@@ -314,7 +272,7 @@
         for name, state in self._upstreams.items():
             count = self._lent(peer, name)
             if count > 0:
-                state.frozen.append(_Frozen(count, now + self._settle_s))
+                state.frozen.append(Frozen(count, now + self._settle_s))
 
     def _drop_peer(self, peer: str) -> None:
         self._peers.pop(peer, None)
@@ -325,7 +283,7 @@
     def _peer_use(self, peer: str, upstream: str) -> Use:
         return self._peers[peer].use.get(upstream, Use())
 
-    def _give_back(self, name: str, state: _Upstream, now: Seconds) -> bool:
+    def _give_back(self, name: str, state: Upstream, now: Seconds) -> bool:
         """Return borrowed units that are idle, at once if the owner lacks some."""
         held = self.held(name, now=now)
         idle = held - max(state.running, state.wanted)
@@ -362,7 +320,7 @@
         slowest_s = max((d.present_s(now) for d in self._delays.values()), default=0.0)
         return max(IDLE_BEFORE_RETURN_S, 2 * slowest_s)
 
-    def _lend(self, name: str, state: _Upstream, now: Seconds) -> bool:
+    def _lend(self, name: str, state: Upstream, now: Seconds) -> bool:
         """Lend idle units, and free units that are urgent elsewhere."""
         held = self.held(name, now=now)
         borrowed = sum(max(0, self._borrowed(p, name)) for p in self._peers)
@@ -445,7 +403,7 @@
         self._upstreams[name].promised += 1
         return False
 
-    def _worth_lending(self, peer: str, state: _Upstream, now: Seconds) -> bool:
+    def _worth_lending(self, peer: str, state: Upstream, now: Seconds) -> bool:
         """Return whether idle units are likely still idle once the peer has them."""
         delay = self._delays.get(peer)
         if delay is None or not delay.is_long(now):
@@ -471,30 +429,12 @@
         own: int,
         spare_of: Callable[[Use], int],
     ) -> int:
-        """Return how much of a lack this member covers.
-
-        All owners see the same lack, so each works out who gives what: one unit
-        each, those with most to spare first, until it is covered.
-        """
+        """Return how much of a peer's lack this member covers."""
         spare = {
             p: spare_of(self._peer_use(p, name)) for p in self._peers if p != borrower
         }
         spare[self.name] = own
-        order = sorted(
-            (m for m, count in spare.items() if count > 0),
-            key=lambda m: (-spare[m], rendezvous_score(m, name)),
-        )
-        part = 0
-        while lack > 0 and order:
-            for member in list(order):
-                if lack <= 0:
-                    break
-                lack -= 1
-                spare[member] -= 1
-                part += member == self.name
-                if spare[member] <= 0:
-                    order.remove(member)
-        return part
+        return part_of_lack(self.name, lack, spare, salt=name)
 
     def _lacking(self, name: str, *, urgent: bool) -> list[tuple[str, int]]:
         """Return peers that need more than they hold, with what is on its way."""
@@ -513,7 +453,7 @@
         return max(0, granted - self._taken_by(peer, name).seen) if granted else 0
 
 
-def _next_change_s(state: _Upstream, now: Seconds) -> Seconds:
+def _next_change_s(state: Upstream, now: Seconds) -> Seconds:
     """Return when the held units change by themselves."""
     times = [unit.from_s for unit in state.owned.values() if unit.from_s > now]
     times += [f.until_s for f in state.frozen if f.until_s > now]
--- a/shallotpoint/policy/rescue.py
+++ b/shallotpoint/policy/rescue.py
@@ -132,6 +132,16 @@
     )
 
 
+def oldest_waits(state: PoolState, now: Seconds) -> dict[str, Seconds]:
+    """Return how long the oldest first token has been outstanding, by upstream."""
+    oldest = dict.fromkeys(state.upstreams, 0.0)
+    for ticket_id in state.starting:
+        for leg in state.courses[ticket_id].legs:
+            if leg.waiting:
+                oldest[leg.upstream] = max(oldest[leg.upstream], now - leg.sent_s)
+    return oldest
+
+
 def overdue(state: PoolState, now: Seconds) -> Iterator[tuple[Course, str]]:
     """Yield requests with an overdue first token, and a second upstream for each."""
     if state.tuning.hedge_ratio is None or not state.starting:
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -28,6 +28,7 @@
 from shallotpoint.policy.state import PoolState, Slots
 from shallotpoint.policy.ticket import Course, Leg, Ticket
 from shallotpoint.policy.tuning import Tuning
+from shallotpoint.policy.verdicts import verdict_on_retry
 from shallotpoint.results import Result
 from shallotpoint.types import Seconds
 
@@ -189,7 +190,7 @@
         leg.last_s = now
         leg.tokens += tokens
         course.tokens += tokens
-        self._charge(course, tokens)
+        self._state.charge(course, tokens)
         self._clear_suspicion(course, leg, now)
         return actions
 
@@ -242,7 +243,9 @@
         self._end_leg(course, upstream, now)
         if course.legs:
             return None
-        verdict = self._verdict_on_retry(course, upstream, reason, may_retry, now)
+        verdict = verdict_on_retry(
+            self._state, course, upstream, reason, may_retry=may_retry, now=now
+        )
         if verdict is not None:
             self._forget(course)
             return verdict
@@ -369,7 +372,7 @@
         self._state.running[ticket.service_class.name] += 1
         self._state.starting[ticket.id] = None
         if not hedge:
-            self._charge(course, PREPAID_TOKENS)
+            self._state.charge(course, PREPAID_TOKENS)
             course.prepaid = PREPAID_TOKENS
         self._state.prefixes.note(ticket.prefix, upstream)
         return Send(ticket, upstream, hedge)
@@ -438,52 +441,16 @@
             self.crash_reports.append(report)
             course.suspect = True
 
-    def _verdict_on_retry(
-        self, course: Course, upstream: str, reason: Result, may_retry: bool, now
-    ) -> Result | None:
-        ticket = course.ticket
-        sent = reason not in (Result.RETRY_CONNECT, Result.RETRY_REFUSED)
-        broke = Result.STREAM_CUT if course.tokens else Result.UPSTREAM_BROKE
-        if self._state.poison.blocked(ticket.fingerprint, now):
-            return Result.POISON
-        if sent and not (may_retry and ticket.idempotent):
-            return broke
-        if course.tokens and not ticket.resumable:
-            return Result.STREAM_CUT
-        if sent and course.moves >= rescue.MAX_MOVES:
-            return broke
-        course.moves += 1
-        if ticket.service_class.protected:
-            return None
-        if not self._state.budget(ticket, upstream).spend(now):
-            return broke if sent else Result.RETRY_BUDGET_EMPTY
-        return None
-
     def _note_overdue(self, now: Seconds) -> None:
         """Tell the health book how long first tokens have been outstanding."""
         if not self._state.tuning.health or not self._state.starting:
             return
-        oldest: dict[str, Seconds] = dict.fromkeys(self.upstreams, 0.0)
-        for ticket_id in self._state.starting:
-            for leg in self.courses[ticket_id].legs:
-                if leg.waiting:
-                    waited_s = now - leg.sent_s
-                    if waited_s > oldest[leg.upstream]:
-                        oldest[leg.upstream] = waited_s
-        for name, waited_s in oldest.items():
+        for name, waited_s in rescue.oldest_waits(self._state, now).items():
             self.health.set_overdue(name, waited_s)
         self.health.judge(now)
 
     # Bookkeeping
 
-    def _charge(self, course: Course, tokens: int) -> None:
-        """Charge the organisation, first using up what was prepaid."""
-        paid = min(course.prepaid, tokens)
-        course.prepaid -= paid
-        queue = self._state.queues.get(course.ticket.service_class.name)
-        if queue is not None and tokens > paid:
-            queue.charge(course.ticket.organisation, tokens - paid)
-
     def _clear_suspicion(self, course: Course, leg: Leg, now: Seconds) -> None:
         if not course.suspect or now - leg.sent_s < SUSPECT_CLEAR_S:
             return
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -123,6 +123,14 @@
             budget = self.budgets[key] = RetryBudget()
         return budget
 
+    def charge(self, course: Course, tokens: int) -> None:
+        """Charge a request's organisation, first using up what was prepaid."""
+        paid = min(course.prepaid, tokens)
+        course.prepaid -= paid
+        queue = self.queues.get(course.ticket.service_class.name)
+        if queue is not None and tokens > paid:
+            queue.charge(course.ticket.organisation, tokens - paid)
+
     def candidate(self, upstream: str, now: Seconds) -> Candidate:
         """Return an upstream as the choice among upstreams sees it."""
         slots = self.upstreams[upstream]
--- /dev/null
+++ b/shallotpoint/policy/verdicts.py
@@ -0,0 +1,46 @@
+"""Whether a request whose attempt failed may be tried again."""
+
+from __future__ import annotations
+
+from shallotpoint.policy.rescue import MAX_MOVES
+from shallotpoint.policy.state import PoolState
+from shallotpoint.policy.ticket import Course
+from shallotpoint.results import Result
+from shallotpoint.types import Seconds
+
+_NOT_RUN = (Result.RETRY_CONNECT, Result.RETRY_REFUSED)
+
+
+def verdict_on_retry(
+    state: PoolState,
+    course: Course,
+    upstream: str,
+    reason: Result,
+    *,
+    may_retry: bool,
+    now: Seconds,
+) -> Result | None:
+    """Decide on a request whose last leg failed; spends from its retry budget.
+
+    Returns
+    -------
+    Result or None
+        The code to give up with, or None to try again.
+    """
+    ticket = course.ticket
+    sent = reason not in _NOT_RUN
+    broke = Result.STREAM_CUT if course.tokens else Result.UPSTREAM_BROKE
+    if state.poison.blocked(ticket.fingerprint, now):
+        return Result.POISON
+    if sent and not (may_retry and ticket.idempotent):
+        return broke
+    if course.tokens and not ticket.resumable:
+        return Result.STREAM_CUT
+    if sent and course.moves >= MAX_MOVES:
+        return broke
+    course.moves += 1
+    if ticket.service_class.protected:
+        return None
+    if not state.budget(ticket, upstream).spend(now):
+        return broke if sent else Result.RETRY_BUDGET_EMPTY
+    return None
