State machines for the CAS cell and the lease

Random courses of three members, with the service down and answers lost: each mark counts once or is said unknown, refused ones are never there, at most one holder acts, no fence has two.

--- /dev/null
+++ b/shallotpoint/tests/test_machines.py
@@ -0,0 +1,172 @@
+"""Random courses of the coordination parts, rule by rule, against a model."""
+
+import asyncio
+import random
+
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from shallotpoint.coordination.cas import (
+    CasCell,
+    ChangeUnknown,
+    Contention,
+    read_versioned,
+)
+from shallotpoint.coordination.kv import KeyValueError, Unavailable
+from shallotpoint.coordination.lease import LeaseHolder, LeaseLost
+from shallotpoint.coordination.memory_kv import MemoryKeyValue
+from shallotpoint.testing.cases import FakeClock
+
+MEMBERS = 3
+members = st.integers(0, MEMBERS - 1)
+seldom = st.sampled_from([False, False, False, True])
+
+
+class CasMachine(RuleBasedStateMachine):
+    """Writers append their marks; each mark counts once, or is said unknown."""
+
+    seen = Bundle("seen")
+
+    @initialize(seed=st.integers(0, 1_000))
+    def start(self, seed):
+        self.kv = MemoryKeyValue(clock=FakeClock(), rng=random.Random(seed))
+        self.cells = [
+            CasCell(self.kv, "cell", rng=random.Random(seed * 10 + index))
+            for index in range(MEMBERS)
+        ]
+        self.marks = 0
+        self.stored, self.unknown, self.refused = set(), set(), set()
+        self.revision = 0
+
+    def mark(self):
+        self.marks += 1
+        return b"%d," % self.marks
+
+    def note(self, mark, write):
+        try:
+            done = asyncio.run(write)
+        except ChangeUnknown:
+            self.unknown.add(mark)
+        except (Unavailable, Contention):
+            self.refused.add(mark)
+        else:
+            (self.refused if done is None else self.stored).add(mark)
+
+    @rule(down=seldom, lost=st.sampled_from([0.0, 0.5, 1.0]))
+    def faults(self, down, lost):
+        self.kv.faults.down = down
+        self.kv.faults.lose_answers = lost
+
+    @rule(member=members)
+    def append(self, member):
+        mark = self.mark()
+        self.note(mark, self.cells[member].update(lambda body: body + mark))
+
+    def look(self, member):
+        try:
+            return asyncio.run(self.cells[member].read())
+        except Unavailable:
+            return None
+
+    def swap(self, member, base):
+        if base is None:
+            return
+        mark, cell = self.mark(), self.cells[member]
+        write = cell.swap(base, base.body + mark, cell.new_change_id())
+        self.note(mark, write)
+
+    @rule(target=seen, member=members)
+    def look_for_later(self, member):
+        return self.look(member)
+
+    @rule(member=members, base=seen)
+    def swap_from_an_old_look(self, member, base):
+        self.swap(member, base)
+
+    @rule(member=members)
+    def swap_from_a_fresh_look(self, member):
+        self.swap(member, self.look(member))
+
+    @invariant()
+    def marks_count_once_and_nothing_goes_back(self):
+        entry = self.kv.store.get("cell")
+        held = read_versioned(entry).body.split(b",")[:-1]
+        found = {mark + b"," for mark in held}
+        assert len(held) == len(found), "a mark counts twice"
+        assert self.stored <= found, "a stored mark is missing"
+        assert not found & self.refused, "a refused mark is there"
+        revision = entry.revision if entry else 0
+        assert revision >= self.revision, "the revision went back"
+        self.revision = revision
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """At most one holder may act; fences grow with each new holder."""
+
+    @initialize(seed=st.integers(0, 1_000))
+    def start(self, seed):
+        self.clock = FakeClock()
+        self.kv = MemoryKeyValue(clock=self.clock, rng=random.Random(seed))
+        self.holders = [
+            LeaseHolder(self.kv, "orders", f"r{index}", clock=self.clock)
+            for index in range(MEMBERS)
+        ]
+        self.fences = {}
+
+    @rule(down=seldom, lost=st.sampled_from([0.0, 0.5, 1.0]))
+    def faults(self, down, lost):
+        self.kv.faults.down = down
+        self.kv.faults.lose_answers = lost
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 8.9, 9.1, 10.5]))
+    def wait(self, seconds):
+        self.clock.advance(seconds)
+
+    def ask(self, call):
+        try:
+            asyncio.run(call())
+        except KeyValueError:
+            return
+
+    @rule(member=members)
+    def acquire(self, member):
+        self.ask(self.holders[member].acquire)
+
+    @rule(member=members, what=st.sampled_from(["acquire", "renew", "release"]))
+    def change(self, member, what):
+        self.ask(getattr(self.holders[member], what))
+
+    @invariant()
+    def one_acts_at_most_and_fences_grow(self):
+        acting = {}
+        for index, holder in enumerate(self.holders):
+            try:
+                with holder.acting(takes_s=0.0) as fence:
+                    acting[index] = fence
+            except LeaseLost:
+                continue
+        assert len(acting) <= 1, f"{acting} act at once"
+        for index, fence in acting.items():
+            if self.fences.get(fence, index) != index:
+                raise AssertionError(f"fence {fence} had two holders")
+            newest = max(self.fences, default=0)
+            assert fence >= newest, f"fence {fence} comes after {newest}"
+            self.fences[fence] = index
+
+
+# Without shrinking: a failure is told within seconds, if not by the shortest course.
+_settings = settings(
+    max_examples=200,
+    stateful_step_count=40,
+    phases=(Phase.explicit, Phase.generate),
+)
+CasMachineTests = CasMachine.TestCase
+CasMachineTests.settings = _settings
+LeaseMachineTests = LeaseMachine.TestCase
+LeaseMachineTests.settings = _settings
