A leg withdrawn at the end of its answer neither strands nor repeats it

The end is now a task of the request, written once, and a whole answer is known as ended. Before: two tests with a slow caller fail (hang; 'could not be carried on'). After: green.

--- a/shallotpoint/callers/answer.py
+++ b/shallotpoint/callers/answer.py
@@ -35,6 +35,7 @@
 
     def __init__(self, body: bytes, *, limit: int | None, keeps_text: bool = True):
         self.tokens = 0
+        self.ended = False
         self.first_s: Seconds | None = None
         self._last_s: Seconds = 0.0
         self._body = body
--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -128,15 +128,16 @@
                 await self._relay_whole(upstream, resp)
 
     def lacks_only_its_end(self) -> bool:
-        """Return whether the caller has all the tokens that it asked for."""
-        return self.ticket.resumable and self._answer.at_limit
+        """Return whether there is no more to generate."""
+        answer = self._answer
+        return self.ticket.resumable and (answer.ended or answer.at_limit)
 
     async def write_end(self) -> None:
-        """End an answer that was cut after its last token."""
+        """End an answer that lacks nothing else; a relayed end stands."""
         with _caller_may_go():
             if self._gathers:
                 await self._answer_gathered()
-            else:
+            elif not self._answer.ended:
                 events = closing_events(self.ticket.id, self._chat.model)
                 await self.exchange.write(events, more=False)
 
@@ -188,7 +189,7 @@
             held = b""
             if done:
                 if self._gathers:
-                    await self.write_end()
+                    await self.write_end_once()
                 self._note_times(upstream)
                 return
             await self._let_tokens_gather(resp)
@@ -235,6 +236,7 @@
 
     def _note_written(self, events: bytes, tokens: int, read_s: Seconds) -> None:
         self._answer.add(events, tokens, read_s)
+        self._answer.ended |= ends_stream(events)
         self.log.tokens = self._answer.tokens
 
     def _note_times(self, upstream: str) -> None:
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -73,7 +73,7 @@
             )
         )
         self.sent = False
-        self._ending = False
+        self._end_task: asyncio.Task | None = None
         self._legs: dict[str, asyncio.Task] = {}
         self._done: asyncio.Future = asyncio.get_running_loop().create_future()
         self._queued_s: Seconds = time.monotonic()
@@ -91,8 +91,9 @@
                 await self.exchange.fail(exc)
         finally:
             self.pool.abandon(self.ticket.id)
-            for task in list(self._legs.values()):
-                task.cancel()
+            for task in [*self._legs.values(), self._end_task]:
+                if task is not None:
+                    task.cancel()
 
     async def leg(self, upstream: str, address: str) -> None:
         """Try the request on one upstream and write the answer.
@@ -204,17 +205,22 @@
         self._settle(self.final_error(verdict, exc))
 
     async def _end_answer(self) -> None:
-        """Write the end once, whichever leg comes to it first."""
-        if self._ending:
-            return
-        self._ending = True
         try:
-            await self.write_end()
+            await self.write_end_once()
         except CallerGone as exc:
             self._settle(exc)
         else:
             self._settle(None)
 
+    async def write_end_once(self) -> None:
+        """Write the end, whichever leg comes to it first, and wait for that.
+
+        The write goes on when its leg is withdrawn: a slow caller may keep it.
+        """
+        if self._end_task is None:
+            self._end_task = asyncio.create_task(self.write_end())
+        await asyncio.shield(self._end_task)
+
     def may_retry(self) -> bool:
         """Return whether another attempt is allowed after one was sent."""
         return self.ticket.idempotent
--- a/shallotpoint/tests/test_chat.py
+++ b/shallotpoint/tests/test_chat.py
@@ -51,11 +51,11 @@
         self.raw += message.get("body", b"")
 
 
-def chat_run(caller, *, max_tokens):
+def chat_run(caller, *, max_tokens, stream=True):
     request = {
         "model": "m",
         "messages": [{"role": "user", "content": "count"}],
-        "stream": True,
+        "stream": stream,
         "max_tokens": max_tokens,
     }
     body = msgspec.json.encode(request)
@@ -97,3 +97,44 @@
         self.assertEqual("one", written)
         self.assertThat(request["messages"][-1]["content"], Equals("one"))
         self.assertEqual(4, request["max_tokens"])
+
+
+class WithdrawnAtItsEndTests(TestCase):
+    """A leg is withdrawn while the end of its answer waits for a slow caller."""
+
+    def finish(self, *, stream, takes, parts, tokens):
+        async def main():
+            caller = SlowCaller(takes=takes)
+            run = chat_run(caller, max_tokens=tokens, stream=stream)
+            answer = FakeAnswer(parts)
+
+            async def leg(upstream, address):
+                await run._relay_stream(upstream, answer)
+
+            run.leg = leg
+            with mock.patch("shallotpoint.callers.chat.MERGE_S", 0.0):
+                first = asyncio.create_task(run._leg_task("e1", ""))
+                await asyncio.sleep(0.05)
+                first.cancel()
+                await asyncio.wait({first})
+                second = asyncio.create_task(run._leg_task("e2", ""))
+                await asyncio.sleep(0.05)
+                caller.reads.set()
+                await asyncio.wait_for(run._done, 2.0)
+                await second
+            return caller.raw
+
+        return self.run_async(main())
+
+    def test_an_answer_without_stream_is_given_once(self):
+        end = event() + b"data: [DONE]\n\n"
+        parts = [*(event(content=word) for word in WORDS), end]
+        raw = self.finish(stream=False, takes=0, parts=parts, tokens=90)
+        choice = msgspec.json.decode(raw)["choices"][0]
+        self.assertThat(choice["message"]["content"], Equals("".join(WORDS)))
+
+    def test_a_stream_at_its_limit_is_ended_once(self):
+        parts = [event(content=word) for word in WORDS]
+        raw = self.finish(stream=True, takes=6, parts=parts, tokens=5)
+        self.assertThat(text_of(raw), Equals("".join(WORDS)))
+        self.assertThat(raw.count(b"[DONE]"), Equals(1))
