--- a/shallotpoint/tests/test_orders.py
+++ b/shallotpoint/tests/test_orders.py
@@ -1,7 +1,7 @@
 from shallotpoint.controllers.orders import LoadLimit, is_done
 from shallotpoint.policy.configuration import UpstreamOrder
 from shallotpoint.testing.cases import TestCase, eventually
-from shallotpoint.tests.test_path import PathTestCase, operate
+from shallotpoint.tests.fleets import FleetTestCase, operate
 
 
 class OrderRuleTests(TestCase):
@@ -29,7 +29,7 @@
         self.assertEqual(5, sum(taken))
 
 
-class OrderFleetTests(PathTestCase):
+class OrderFleetTests(FleetTestCase):
     def test_an_order_is_repeated_until_the_engine_shows_it(self):
         async def main(made, session):
             reply = await operate(made, "order upstream engine-1 load=big")
--- a/shallotpoint/tests/test_path.py
+++ b/shallotpoint/tests/test_path.py
@@ -1,64 +1,28 @@
 """The whole path: callers, routers, stand-ins, over real sockets."""
 
 import asyncio
-import contextlib
 import random
 import time
 
-import aiohttp
 import msgspec
 import openai
 from testtools.matchers import Contains, Equals, GreaterThan, LessThan
 
 from shallotpoint.bench.load import expected_text
-from shallotpoint.daemons.demo import MODEL, FleetPlan, fleet, start_router
+from shallotpoint.daemons.demo import MODEL
 from shallotpoint.standins.timing import EngineTiming
-from shallotpoint.testing.cases import TestCase, eventually
+from shallotpoint.testing.cases import eventually
+from shallotpoint.tests.fleets import (
+    SLOW,
+    FleetTestCase,
+    chat,
+    client,
+    headers,
+)
 from shallotpoint.upstreams.sse import text_of
 
-FAST = EngineTiming(prefill_s=0.005, uncached_s=0.005, token_s=0.002, batch_s=0.0)
-SLOW = EngineTiming(prefill_s=0.01, uncached_s=0.0, token_s=0.02, batch_s=0.0)
 
-
-def client(made, router=0, organisation="counter"):
-    return openai.AsyncOpenAI(
-        api_key=made.organisations[organisation],
-        base_url=f"{made.routers[router].callers.url}/v1",
-        max_retries=0,
-    )
-
-
-def chat(prompt, tokens=12, **kwargs):
-    messages = [{"role": "user", "content": prompt}]
-    return {"model": MODEL, "messages": messages, "max_tokens": tokens, **kwargs}
-
-
-def headers(made, **more):
-    return {"authorization": f"Bearer {made.organisations['counter']}", **more}
-
-
-async def operate(made, command, router=0, token=None):
-    async with aiohttp.ClientSession() as session:
-        async with session.post(
-            f"{made.routers[router].operators.url}/operate",
-            json={"command": command},
-            headers={"authorization": f"Bearer {token or made.operator_token}"},
-        ) as resp:
-            return await resp.json()
-
-
-class PathTestCase(TestCase):
-    def with_fleet(self, main, *, timeout_s=60.0, **plan):
-        async def run():
-            sizes = {"routers": 2, "engines": 2, "timing": FAST, **plan}
-            async with fleet(FleetPlan(**sizes)) as made:
-                async with aiohttp.ClientSession() as session:
-                    return await main(made, session)
-
-        return self.run_async(run(), timeout_s=timeout_s)
-
-
-class OpenAIClientTests(PathTestCase):
+class OpenAIClientTests(FleetTestCase):
     def test_answers_streamed_whole_and_concurrent(self):
         async def main(made, session):
             async with client(made) as api:
@@ -92,7 +56,7 @@
         self.with_fleet(main)
 
 
-class BadInputTests(PathTestCase):
+class BadInputTests(FleetTestCase):
     def test_each_is_told_clearly_and_nothing_is_sent(self):
         good = chat("a b")
         cases = [
@@ -128,7 +92,7 @@
         self.assertEqual(0, self.with_fleet(main))
 
 
-class FailureTests(PathTestCase):
+class FailureTests(FleetTestCase):
     async def stream(self, made, session, prompt, tokens, router=0, cls="counter"):
         url = f"{made.routers[router].callers.url}/v1/chat/completions"
         body = chat(prompt, tokens, stream=True)
@@ -341,7 +305,7 @@
         self.assertEqual((422, 0), (again[0], started))
 
 
-class OnceTests(PathTestCase):
+class OnceTests(FleetTestCase):
     async def deposit(self, made, session, key, router=0, body=b"d"):
         url = f"{made.routers[router].callers.url}/services/orders/deposit"
         more = {"idempotency-key": key, "x-shallotpoint-class": "entry"}
@@ -388,129 +352,3 @@
 
         status, answer = self.with_fleet(main)
         self.assertEqual((422, 111), (status, answer["result"]))
-
-
-class OperatorTests(PathTestCase):
-    def test_conflicting_commands_at_the_same_moment(self):
-        async def main(made, session):
-            replies = await asyncio.gather(
-                operate(made, "set class counter ttft=2s", 0),
-                operate(made, "set class counter ttft=3s", 1),
-            )
-            return replies
-
-        replies = self.with_fleet(main)
-        by_status = {r["status"]: r for r in replies}
-        self.assertEqual({"accepted", "conflict"}, set(by_status))
-        self.assertEqual(
-            by_status["accepted"]["version"], by_status["conflict"]["version"]
-        )
-
-    def test_different_things_both_succeed_and_are_in_force(self):
-        async def main(made, session):
-            replies = await asyncio.gather(
-                operate(made, "set class counter ttft=2s", 0),
-                operate(made, "set class lookup ttft=3s", 1),
-                operate(made, "set exception ribe class=counter deadline=9s", 1),
-            )
-
-            def in_force(router):
-                from shallotpoint.controllers.sections import ConfigSection
-
-                config = router.board.get(ConfigSection).config
-                return (
-                    config.classes["counter"].ttft_s == 2.0
-                    and config.classes["lookup"].ttft_s == 3.0
-                    and config.class_for("counter", "ribe").deadline_s == 9.0
-                )
-
-            await eventually(lambda: all(in_force(r) for r in made.routers))
-            return [r["status"] for r in replies]
-
-        self.assertEqual(["accepted"] * 3, self.with_fleet(main))
-
-    def test_promise_breaking_changes_are_refused(self):
-        cases = [
-            ("set class x share=90%", "100%"),
-            ("set class x protected=yes", "share"),
-            ("set pool x models=m", "upstreams"),
-            ("set class x tier=9", "tier"),
-            ("drop class counter", "organisation"),
-            ("set class x colour=red", "colour"),
-        ]
-
-        async def main(made, session):
-            for command, hint in cases:
-                reply = await operate(made, command)
-                self.expectThat(reply["status"], Equals("invalid_change"), command)
-                self.expectThat(reply["message"], Contains(hint), command)
-            bad = await operate(made, "show everything")
-            self.assertEqual("parse_error", bad["status"])
-            stranger = await operate(made, "show pools", token="x")
-            self.assertEqual("not_permitted", stranger["status"])
-
-        self.with_fleet(main)
-
-    def test_lost_answer_of_a_stored_change_is_accepted(self):
-        async def main(made, session):
-            made.kv.kv.faults.lose_answers = 1.0
-            return await operate(made, "set class counter ttft=4s")
-
-        self.assertEqual("accepted", self.with_fleet(main)["status"])
-
-    def test_outage_refuses_changes_and_keeps_serving(self):
-        async def main(made, session):
-            made.kv.kv.faults.down = True
-            reply = await operate(made, "set class counter ttft=4s")
-            async with client(made) as api:
-                answer = await api.chat.completions.create(**chat("a b"))
-            return reply["status"], answer.choices[0].message.content
-
-        status, text = self.with_fleet(main)
-        self.assertEqual("store_unavailable", status)
-        self.assertEqual(expected_text("a b", 12), text)
-
-    def test_explain_and_show_ask_all_routers(self):
-        async def main(made, session):
-            url = f"{made.routers[1].callers.url}/v1/chat/completions"
-            async with session.post(
-                url, json=chat("a b"), headers=headers(made)
-            ) as resp:
-                request = resp.headers["x-shallotpoint-request"]
-            explained = await operate(made, f"explain request {request}")
-            routers = await operate(made, "show routers")
-            upstreams = await operate(made, "show upstreams where pool=assistant")
-            return explained, routers, upstreams
-
-        explained, routers, upstreams = self.with_fleet(main)
-        self.assertEqual((2, 2), (explained["answered"], explained["asked"]))
-        self.assertEqual("ok", explained["rows"][0]["result"])
-        self.assertEqual(2, len(routers["rows"]))
-        self.assertEqual(
-            {"engine-1", "engine-2"}, {r["name"] for r in upstreams["rows"]}
-        )
-
-
-class MembershipTests(PathTestCase):
-    def test_a_router_that_starts_in_an_outage_learns_from_peers(self):
-        async def main(made, session):
-            made.kv.kv.faults.down = True
-            plan = FleetPlan(routers=3, engines=2, timing=FAST)
-            async with contextlib.AsyncExitStack() as stack:
-                router = await start_router(made, plan, stack, 2)
-                await eventually(router.ready, timeout_s=8.0)
-                return router.config.state.version, made.routers[0].config.state.version
-
-        newcomer, known = self.with_fleet(main)
-        self.assertEqual(known, newcomer)
-
-    def test_a_router_that_hears_nobody_is_not_ready(self):
-        async def main(made, session):
-            router = made.routers[0]
-            made.kv.kv.faults.down = True
-            self.assertTrue(router.ready())
-            await eventually(lambda: not router.ready(), timeout_s=12.0)
-            made.kv.kv.faults.down = False
-            await eventually(router.ready, timeout_s=12.0)
-
-        self.with_fleet(main, routers=1)
