Read again: one operators' POST, one end check a batch, gone peers forgotten

- The relay looked for a stream's end twice in each batch; once is enough.
- Parts of credit rows were kept for every peer ever heard; they now go with the board's rows (test added).
- A doc comment for the ledger's record; one set-up for two transport tests.

--- a/shallotpoint/bench/processes.py
+++ b/shallotpoint/bench/processes.py
@@ -17,6 +17,7 @@
 
 import aiohttp
 
+from shallotpoint.operators.client import send_command
 from shallotpoint.operators.fields import hash_key
 from shallotpoint.types import Seconds
 
@@ -129,12 +130,7 @@
 
 async def operate(session: aiohttp.ClientSession, port: int, command: str) -> dict:
     """Give one operator command."""
-    async with session.post(
-        f"http://127.0.0.1:{port}/operate",
-        json={"command": command},
-        headers={"authorization": f"Bearer {TOKEN}"},
-    ) as resp:
-        return await resp.json()
+    return await send_command(session, f"http://127.0.0.1:{port}", TOKEN, command)
 
 
 async def wait_up(
--- a/shallotpoint/callers/answer.py
+++ b/shallotpoint/callers/answer.py
@@ -47,8 +47,11 @@
         """Whether the caller has all the tokens that it asked for."""
         return bool(self._limit) and self.tokens >= (self._limit or 0)
 
-    def add(self, events: bytes, tokens: int, read_s: Seconds) -> None:
+    def add(
+        self, events: bytes, tokens: int, read_s: Seconds, *, ended: bool = False
+    ) -> None:
         """Note events that were written, and when they were read."""
+        self.ended |= ended
         if tokens and self.first_s is None:
             self.first_s = read_s
         self._last_s = read_s
--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -166,7 +166,7 @@
         self.pool.progress(self.ticket.id, upstream, tokens)
         with _caller_may_go():
             await self.exchange.answer(200, body)
-        self._note_written(b"", tokens, read_s)
+        self._note_written(b"", tokens, read_s, ended=True)
         self._note_times(upstream)
 
     async def _relay_stream(self, upstream: str, resp: Any) -> None:
@@ -185,7 +185,7 @@
             self.pool.progress(self.ticket.id, upstream, tokens)
             if not self._gathers:
                 await self._write_events(upstream, held + events, last=done)
-            self._note_written(held + events, tokens, read_s)
+            self._note_written(held + events, tokens, read_s, ended=done)
             held = b""
             if done:
                 if self._gathers:
@@ -234,9 +234,10 @@
         finally:
             self.pool.hold_back(self.ticket.id, upstream, False)
 
-    def _note_written(self, events: bytes, tokens: int, read_s: Seconds) -> None:
-        self._answer.add(events, tokens, read_s)
-        self._answer.ended |= ends_stream(events)
+    def _note_written(
+        self, events: bytes, tokens: int, read_s: Seconds, *, ended: bool
+    ) -> None:
+        self._answer.add(events, tokens, read_s, ended=ended)
         self.log.tokens = self._answer.tokens
 
     def _note_times(self, upstream: str) -> None:
--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -112,6 +112,10 @@
                 lacking |= bool(_lacks(credits.row))
         return lacking
 
+    def forget_gone(self) -> None:
+        """Drop what came from peers that the board no longer knows."""
+        self._reader.forget(self._gossip.members())
+
     def crashed(self, report: CrashReport) -> None:
         """Spread a crash that was seen here."""
         now = self._clock()
--- a/shallotpoint/coordination/_credit_state.py
+++ b/shallotpoint/coordination/_credit_state.py
@@ -39,6 +39,8 @@
 
 @dataclass(slots=True)
 class Upstream:
+    """One upstream's units here, and what this member says of its use."""
+
     capacity: int
     owned: dict[int, Unit] = field(default_factory=dict)
     wanted: int = 0
--- a/shallotpoint/coordination/credit_parts.py
+++ b/shallotpoint/coordination/credit_parts.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from typing import TypeVar
 
 import msgspec
@@ -117,6 +117,10 @@
     def _for_me(self, counters: Mapping[str, _T]) -> dict[str, _T]:
         return {a: c for a, c in counters.items() if a.startswith(self._mine)}
 
+    def forget(self, keep: Container[str]) -> None:
+        """Drop the parts of peers that are not kept."""
+        self._peers = {n: p for n, p in self._peers.items() if n in keep}
+
     def row(self, origin: str) -> PeerCredits | None:
         """Return a peer's row as known so far, once its head is there."""
         incarnation, parts = self._peers.get(origin, (0, {}))
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -293,6 +293,7 @@
         chosen = neighbours(self.name, routers)
         self.transport.forget({h.address for h in routers.values()})
         self.gossip.forget(now=self._clock(), keep=routers)
+        self.sharing.forget_gone()
         return {name: routers[name].address for name in chosen if name in routers}
 
     def _take_rows(self, rows: Sequence[Row]) -> None:
--- a/shallotpoint/operators/client.py
+++ b/shallotpoint/operators/client.py
@@ -34,7 +34,7 @@
 
 async def _one(session, url: str, token: str, command: str, *, as_json: bool) -> int:
     try:
-        reply = await _send(session, url, token, command)
+        reply = await send_command(session, url, token, command)
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
         print(f"no answer from {url}: {exc}", file=sys.stderr)
         return 1
@@ -42,7 +42,10 @@
     return 0 if reply.get("status") in _GOOD_STATUSES else 1
 
 
-async def _send(session, url: str, token: str, command: str) -> JSONObject:
+async def send_command(
+    session: aiohttp.ClientSession, url: str, token: str, command: str
+) -> JSONObject:
+    """Give one command to a router and return its reply."""
     async with session.post(
         f"{url.rstrip('/')}/operate",
         json={"command": command},
--- a/shallotpoint/tests/fleets.py
+++ b/shallotpoint/tests/fleets.py
@@ -4,6 +4,7 @@
 import openai
 
 from shallotpoint.daemons.demo import MODEL, FleetPlan, fleet
+from shallotpoint.operators.client import send_command
 from shallotpoint.standins.timing import EngineTiming
 from shallotpoint.testing.cases import TestCase
 
@@ -29,13 +30,9 @@
 
 
 async def operate(made, command, router=0, token=None):
+    url = made.routers[router].operators.url
     async with aiohttp.ClientSession() as session:
-        async with session.post(
-            f"{made.routers[router].operators.url}/operate",
-            json={"command": command},
-            headers={"authorization": f"Bearer {token or made.operator_token}"},
-        ) as resp:
-            return await resp.json()
+        return await send_command(session, url, token or made.operator_token, command)
 
 
 class FleetTestCase(TestCase):
--- a/shallotpoint/tests/test_credit_parts.py
+++ b/shallotpoint/tests/test_credit_parts.py
@@ -51,6 +51,15 @@
         credits = reader.row("one")
         self.assertThat((credits.incarnation, [*credits.row.use]), Equals((2, ["u2"])))
 
+    def test_peers_that_are_not_kept_are_dropped(self):
+        reader = PartReader("me")
+        for origin in ("one", "two"):
+            for topic, payload in split(CreditRow()).items():
+                reader.take(origin, 1, topic, payload)
+        reader.forget(["two"])
+        self.assertIsNone(reader.row("one"))
+        self.assertIsNotNone(reader.row("two"))
+
     def test_one_change_among_many_upstreams_is_small(self):
         use = {f"u{i}": Use(held=1) for i in range(100)}
         writer = PartWriter()
--- a/shallotpoint/tests/test_transport.py
+++ b/shallotpoint/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Request and reply over pynng, where a cancel races with a finished operation."""
 
 import asyncio
+import contextlib
 import time
 
 import pynng
@@ -21,6 +22,14 @@
     time.sleep(SETTLE_S)
 
 
+@contextlib.contextmanager
+def raw_peer():
+    """Listen without answering; yield the socket and its address."""
+    with pynng.Rep0() as socket:
+        port = socket.listen("tcp://127.0.0.1:0").local_address
+        yield socket, str(port).removeprefix("tcp://")
+
+
 async def echo(message):
     return message
 
@@ -42,9 +51,7 @@
     def test_a_request_that_is_sent_as_its_time_ends_is_given_up(self):
         async def main():
             transport = NngTransport(SEALER)
-            with pynng.Rep0() as silent:
-                port = silent.listen("tcp://127.0.0.1:0").local_address
-                address = str(port).removeprefix("tcp://")
+            with raw_peer() as (_, address):
                 transport._socket(address)
                 await asyncio.sleep(SETTLE_S)
                 asking = asyncio.create_task(
@@ -64,9 +71,7 @@
     def test_a_cancel_hidden_by_a_reply_still_ends_the_caller(self):
         async def main():
             transport = NngTransport(SEALER)
-            with pynng.Rep0() as peer:
-                port = peer.listen("tcp://127.0.0.1:0").local_address
-                address = str(port).removeprefix("tcp://")
+            with raw_peer() as (peer, address):
                 asking = asyncio.create_task(
                     transport.request(address, b"hello", timeout_s=5.0)
                 )
