--- a/shallotpoint/bench/processes.py
+++ b/shallotpoint/bench/processes.py
@@ -17,8 +17,8 @@
 
 import aiohttp
 
+from shallotpoint.hashing import hash_key
 from shallotpoint.operators.client import send_command
-from shallotpoint.operators.fields import hash_key
 from shallotpoint.types import Seconds
 
 TOKEN = "bench-operator-token-0123456789"
--- a/shallotpoint/callers/access.py
+++ b/shallotpoint/callers/access.py
@@ -7,7 +7,7 @@
 
 from shallotpoint.callers.exchange import Exchange
 from shallotpoint.errors import RequestError
-from shallotpoint.operators.fields import hash_key
+from shallotpoint.hashing import hash_key
 from shallotpoint.policy.configuration import Config
 from shallotpoint.policy.model import Organisation, ServiceClass
 from shallotpoint.results import Result
--- a/shallotpoint/callers/app.py
+++ b/shallotpoint/callers/app.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-import secrets
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -254,10 +252,3 @@
         body, headers = self.services.metrics.render()
         content_type = headers["Content-Type"].encode()
         await exchange.answer(200, body, content_type=content_type)
-
-
-def request_ids() -> Callable[[], str]:
-    """Return a source of request ids, unique among routers and starts."""
-    start = secrets.token_hex(8)
-    numbers = itertools.count(1)
-    return lambda: f"{start}-{next(numbers):x}"
--- a/shallotpoint/callers/exchange.py
+++ b/shallotpoint/callers/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -18,6 +19,10 @@
 _ERROR_TYPES = {401: "authentication_error", 403: "permission_error", 429: "rate_limit"}
 
 
+def _whole_seconds(wait_s: Seconds) -> bytes:
+    return str(max(1, math.ceil(wait_s))).encode()
+
+
 class CallerGone(Exception):
     """The caller closed the connection."""
 
@@ -29,12 +34,18 @@
     ----------
     request_id : str
         Sent with each answer.
+
+    Attributes
+    ----------
+    closes : bool
+        Whether the connection ends with this answer.
     """
 
     def __init__(self, scope: Any, receive: Any, send: Any, request_id: str):
         self.scope = scope
         self.request_id = request_id
         self.started = False
+        self.closes = False
         self._receive = receive
         self._send = send
         self._headers = dict(scope["headers"])
@@ -78,10 +89,18 @@
         """Send the status and headers; the request id is added."""
         self.started = True
         head = [*headers, (REQUEST_ID_HEADER, self.request_id.encode())]
+        if self.closes:
+            head.append((b"connection", b"close"))
         await self._send(
             {"type": "http.response.start", "status": status, "headers": head}
         )
 
+    def cut(self) -> None:
+        """End the connection without the rest of the answer."""
+        transport = getattr(getattr(self._send, "__self__", None), "transport", None)
+        if transport is not None:
+            transport.abort()
+
     def is_slow(self) -> bool:
         """Return whether the next write has to wait for the caller."""
         flow = getattr(getattr(self._send, "__self__", None), "flow", None)
@@ -110,7 +129,12 @@
         await self.start(status, head)
         await self.write(body, more=False)
 
-    async def fail(self, exc: RequestError, *, status: int | None = None) -> None:
+    async def fail(
+        self,
+        exc: RequestError,
+        *,
+        write_retry_after: Callable[[Seconds], bytes] = _whole_seconds,
+    ) -> None:
         """Send an error object, in the stream if that has begun."""
         body = error_body(exc)
         if self.started:
@@ -122,8 +146,8 @@
         if retry_s is None and exc.info.retryable:
             retry_s = 1.0
         if retry_s is not None and exc.info.retryable:
-            headers.append((b"retry-after", str(max(1, math.ceil(retry_s))).encode()))
-        await self.answer(status or exc.info.http_status, body, headers=headers)
+            headers.append((b"retry-after", write_retry_after(retry_s)))
+        await self.answer(honest_status(exc), body, headers=headers)
 
     async def _read_parts(self, max_bytes: int) -> bytes:
         parts = []
@@ -141,6 +165,14 @@
                 return b"".join(parts)
 
 
+def honest_status(exc: RequestError) -> int:
+    """Return the HTTP status; 429 and 503 only for what surely has not run."""
+    status = exc.info.http_status
+    if status in (429, 503) and exc.executed is not Executed.NO:
+        return 502
+    return status
+
+
 def error_body(exc: RequestError) -> bytes:
     """Return the OpenAI error object with the result code and the truth."""
     status = exc.info.http_status
--- /dev/null
+++ b/shallotpoint/callers/route_run.py
@@ -0,0 +1,232 @@
+"""The course of one request on a route."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import multidict
+
+from shallotpoint.callers.dialect import (
+    CONNECTION_HEADERS,
+    AnswerFacts,
+    Dialect,
+    RequestFacts,
+    Sending,
+)
+from shallotpoint.callers.run import RequestRun
+from shallotpoint.errors import RequestError
+from shallotpoint.policy.routes import Route, RouteKind
+from shallotpoint.results import Executed, Result
+from shallotpoint.types import Seconds
+from shallotpoint.upstreams.bound import BoundClient
+from shallotpoint.upstreams.client import Outgoing, UpstreamFailure, read_all
+from shallotpoint.upstreams.event_ids import last_event_id, without_repeats
+from shallotpoint.upstreams.sse import EventSplitter
+
+ENDS_EARLY_S = 0.02  # the final answer leaves this long before the time limit
+_PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class RouteCall:
+    """One request on a route, as it goes upstream.
+
+    Attributes
+    ----------
+    target : str
+        Path and query, as the caller sent them.
+    headers : tuple
+        The caller's headers that are passed on.
+    """
+
+    route: Route
+    facts: RequestFacts
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tier: int
+    organisation: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class RouteEdges:
+    """What requests on routes use to reach upstreams."""
+
+    client: BoundClient
+    dialect: Dialect
+
+
+@dataclass(frozen=True, slots=True)
+class _KeptAnswer:
+    """An upstream's own failure, given to the caller if no other attempt helps."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class RouteRun(RequestRun):
+    """Relays one request on a route."""
+
+    def __init__(self, *args: Any, call: RouteCall, edges: RouteEdges):
+        super().__init__(*args)
+        self._call = call
+        self._edges = edges
+        self._last_event = call.facts.last_event
+        self._kept: _KeptAnswer | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def run(self) -> None:
+        """Serve the request to its end, within its time limit."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._left_s(), self._out_of_time)
+        try:
+            await super().run()
+        finally:
+            self._timer.cancel()
+
+    async def leg(self, upstream: str, address: str) -> None:
+        """Try the request on one upstream."""
+        left_s = self._left_s()
+        if left_s <= 0.0:
+            raise UpstreamFailure(Result.RETRY_CONNECT, "no time is left")
+        async with self._edges.client.sending(
+            upstream,
+            address,
+            self._outgoing(upstream, left_s),
+            repeatable=self._call.route.repeatable,
+            timeout_s=left_s + ENDS_EARLY_S,
+        ) as resp:
+            await self._take(upstream, resp)
+
+    def may_retry(self) -> bool:
+        """Return whether another attempt is allowed after one was sent."""
+        return self._call.route.repeatable
+
+    async def fail(self, exc: RequestError) -> None:
+        """Give the caller the final answer of a request without success."""
+        if self.exchange.started:
+            self.exchange.cut()
+        elif self._kept is not None:
+            await self._send_whole(self._kept)
+        else:
+            retry_after = self._edges.dialect.write_retry_after
+            await self.exchange.fail(exc, write_retry_after=retry_after)
+
+    def end_facts(self) -> Mapping[str, Any]:
+        """Return what the log says beside the result."""
+        return {"route": self._call.route.name, "tier": self._call.tier}
+
+    # Sending
+
+    def _left_s(self) -> Seconds:
+        """Return the time until the final answer has to leave, in seconds."""
+        assert self.ticket.limit_s is not None
+        return self.ticket.limit_s - time.monotonic() - ENDS_EARLY_S
+
+    def _outgoing(self, upstream: str, left_s: Seconds) -> Outgoing:
+        call = self._call
+        sending = Sending(
+            call.facts, upstream, left_s, call.tier, call.organisation, self._last_event
+        )
+        headers = multidict.CIMultiDict(call.headers)
+        for name, value in self._edges.dialect.write_request(sending):
+            headers[name] = value
+        return Outgoing(call.method, call.target, headers, call.body)
+
+    def _out_of_time(self) -> None:
+        if self.sent or self._legs:
+            self._settle(
+                RequestError(Result.UPSTREAM_TIMEOUT, executed=Executed.UNKNOWN)
+            )
+        else:
+            self._settle(RequestError(Result.WAIT_EXPIRED, retry_after_s=1.0))
+
+    # Answers
+
+    async def _take(self, upstream: str, resp: aiohttp.ClientResponse) -> None:
+        call = self._call
+        facts = self._edges.dialect.read_answer(resp.status, resp.headers)
+        self._check(facts, resp)
+        self.sent = True
+        if resp.status < 400 and call.route.kind is RouteKind.STREAM:
+            await self._relay_events(upstream, resp)
+            return
+        answer = _KeptAnswer(resp.status, passed_on(resp.headers), await read_all(resp))
+        self.pool.progress(self.ticket.id, upstream, 1)
+        if resp.status >= 500 and call.route.repeatable and not self.exchange.started:
+            self._kept = answer
+            raise UpstreamFailure(
+                Result.RETRY_ERROR, f"{upstream} answered {resp.status}"
+            )
+        await self._send_whole(answer)
+
+    def _check(self, facts: AnswerFacts, resp: aiohttp.ClientResponse) -> None:
+        """Raise UpstreamFailure unless this answers the request."""
+        if facts.not_run:
+            raise UpstreamFailure(
+                Result.RETRY_REFUSED, f"refused with status {resp.status}"
+            )
+        if facts.request != self._call.facts.id:
+            resp.close()
+            raise UpstreamFailure(Result.RETRY_BROKE, "an answer to another request")
+        if resp.status in _PROMISE_STATUSES or "content-encoding" in resp.headers:
+            # Passed on, the status would promise that the request has not run.
+            raise UpstreamFailure(
+                Result.RETRY_BROKE, f"an answer of unclear meaning, {resp.status}"
+            )
+
+    async def _send_whole(self, answer: _KeptAnswer) -> None:
+        if self.exchange.started:
+            # A stream that was carried on ends in a failure.
+            self.exchange.cut()
+            return
+        length = (b"content-length", str(len(answer.body)).encode())
+        await self.exchange.start(answer.status, [*answer.headers, length])
+        await self.exchange.write(answer.body, more=False)
+
+    async def _relay_events(self, upstream: str, resp: aiohttp.ClientResponse) -> None:
+        splitter = EventSplitter()
+        resumed_after = self._last_event if self.exchange.started else None
+        if not self.exchange.started:
+            await self.exchange.start(resp.status, passed_on(resp.headers))
+        while data := await resp.content.readany():
+            events = splitter.feed(data)
+            if events and resumed_after is not None:
+                events = without_repeats(events, resumed_after)
+            if events:
+                await self._write_events(upstream, events)
+        await self.exchange.write(b"", more=False)
+
+    async def _write_events(self, upstream: str, events: bytes) -> None:
+        last = last_event_id(events)
+        if last is not None:
+            self._last_event = last
+        count = events.count(b"\n\n")
+        self.log.tokens += count
+        self.pool.progress(self.ticket.id, upstream, count)
+        if not self.exchange.is_slow():
+            await self.exchange.write(events)
+            return
+        self.pool.hold_back(self.ticket.id, upstream, True)
+        try:
+            await self.exchange.write(events)
+        finally:
+            self.pool.hold_back(self.ticket.id, upstream, False)
+
+
+def passed_on(headers: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
+    """Return an answer's headers without those of its connection and framing."""
+    named = headers.get("Connection", "").lower().split(",")
+    dropped = CONNECTION_HEADERS | {name.strip() for name in named}
+    return [
+        (name.lower().encode("latin-1"), value.encode("latin-1", "surrogateescape"))
+        for name, value in headers.items()
+        if name.lower() not in dropped
+    ]
--- /dev/null
+++ b/shallotpoint/callers/routes.py
@@ -0,0 +1,225 @@
+"""The face for requests on routes, and the one for the balancer."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from shallotpoint.blackboard import Blackboard
+from shallotpoint.callers.access import Caller
+from shallotpoint.callers.dialect import CONNECTION_HEADERS, Headers, RequestFacts
+from shallotpoint.callers.exchange import CallerGone, Exchange
+from shallotpoint.callers.route_run import RouteCall, RouteEdges, RouteRun
+from shallotpoint.callers.run import Services, end_request
+from shallotpoint.controllers.sections import ConfigSection
+from shallotpoint.errors import RequestError
+from shallotpoint.hashing import hash64, hash_key
+from shallotpoint.policy.configuration import Config
+from shallotpoint.policy.freshness import FreshnessRule, may_authorise
+from shallotpoint.policy.model import Organisation
+from shallotpoint.policy.routes import Route, RouteKind, class_of
+from shallotpoint.policy.ticket import Ticket
+from shallotpoint.results import Result
+from shallotpoint.types import Clock, Seconds
+
+BODY_S = 10.0  # a body that takes longer is not read to its end
+_TEXT = b"text/plain; charset=utf-8"
+_ANYONE = Organisation("", "")
+
+
+@dataclass(frozen=True, slots=True)
+class KeyView:
+    """How current the known keys are.
+
+    Attributes
+    ----------
+    age_s : Callable
+        Age of the view at a time of ``clock``, None if there is no view.
+    clock : Callable
+        Time in seconds that goes on while the host is suspended.
+    """
+
+    rule: Callable[[], FreshnessRule]
+    age_s: Callable[[Seconds], Seconds | None]
+    clock: Clock
+
+    def is_current(self) -> bool:
+        """Return whether requests with a key may be admitted."""
+        return may_authorise(self.rule(), self.age_s(self.clock()))
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesApp:
+    """An ASGI application; bare, as every request passes through it.
+
+    Attributes
+    ----------
+    stopping : Callable
+        Whether a planned stop has begun; connections then end with their answer.
+    accepting : Callable
+        Whether new requests are still served.
+    """
+
+    board: Blackboard
+    services: Services
+    edges: RouteEdges
+    keys: KeyView
+    stopping: Callable[[], bool]
+    accepting: Callable[[], bool]
+    ids: Callable[[], str]
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send, self.ids())
+        exchange.closes = self.stopping()
+        try:
+            await self._serve(exchange)
+        except RequestError as exc:
+            end_request(self.services, None, exchange.request_id, exc.result)
+            retry_after = self.edges.dialect.write_retry_after
+            await exchange.fail(exc, write_retry_after=retry_after)
+        except CallerGone:
+            return
+
+    async def _serve(self, exchange: Exchange) -> None:
+        arrived_s = time.monotonic()
+        scope = exchange.scope
+        headers: Headers = scope["headers"]
+        facts = self.edges.dialect.read_request(dict(headers))
+        if facts is None:
+            raise RequestError(Result.BAD_REQUEST, "the request has no usable id")
+        exchange.request_id = facts.id
+        config = self._config()
+        route = self._route(config, exchange)
+        organisation = self._organisation(config, route, facts)
+        body = await exchange.read_body(
+            max_bytes=config.routing.limits.body_bytes, timeout_s=BODY_S
+        )
+        await self._run(exchange, config, route, organisation, facts, body, arrived_s)
+
+    def _config(self) -> Config:
+        config = self.board.get(ConfigSection).config
+        if not config.version:
+            raise RequestError(Result.NOT_CONFIGURED, retry_after_s=0.5)
+        if not self.accepting():
+            raise RequestError(Result.STOPPING, retry_after_s=0.1)
+        return config
+
+    def _route(self, config: Config, exchange: Exchange) -> Route:
+        host = dict(exchange.scope["headers"]).get(b"host", b"").decode("latin-1")
+        name = host.rpartition(":")[0] or host if ":" in host else host
+        path = exchange.scope["raw_path"].decode("latin-1")
+        route = config.routing.table.find(name.lower(), path)
+        if route is None:
+            raise RequestError(Result.NO_ROUTE)
+        return route
+
+    def _organisation(
+        self, config: Config, route: Route, facts: RequestFacts
+    ) -> Organisation:
+        routing = config.routing
+        if route.open or not routing.needs_keys:
+            return _ANYONE
+        if not self.keys.is_current():
+            raise RequestError(Result.STALE_VIEW, retry_after_s=1.0)
+        if not facts.key:
+            raise RequestError(Result.MISSING_KEY)
+        holder = routing.key_holders.get(hash_key(facts.key))
+        if holder is None:
+            raise RequestError(Result.WRONG_KEY)
+        return config.organisations[holder]
+
+    async def _run(
+        self,
+        exchange: Exchange,
+        config: Config,
+        route: Route,
+        organisation: Organisation,
+        facts: RequestFacts,
+        body: bytes,
+        arrived_s: Seconds,
+    ) -> None:
+        pool = self.services.pools.runner(route.pool_for(facts.id))
+        if pool is None:
+            raise RequestError(Result.NO_UPSTREAM, retry_after_s=0.5)
+        cls = class_of(route, organisation.tier)
+        limit_s = arrived_s + route.timeout_s
+        if facts.time_left_s is not None:
+            limit_s = min(limit_s, arrived_s + facts.time_left_s)
+        scope = exchange.scope
+        path = scope["raw_path"]
+        content = b"\0".join((path, organisation.name.encode(), body))
+        ticket = Ticket(
+            facts.id,
+            cls,
+            organisation.name,
+            arrived_s,
+            size_bytes=len(body),
+            fingerprint=hash64(content),
+            idempotent=route.repeatable,
+            resumable=route.kind is RouteKind.STREAM and route.resumable,
+            limit_s=limit_s,
+            max_attempts=route.max_attempts,
+            prompt=facts.prompt,
+        )
+        query = scope["query_string"]
+        target = path + b"?" + query if query else path
+        call = RouteCall(
+            route,
+            facts,
+            scope["method"],
+            target.decode("latin-1"),
+            self._forwarded(scope["headers"]),
+            body,
+            cls.tier - 1,
+            organisation.name or None,
+        )
+        caller = Caller(organisation, cls, None, None)
+        run = RouteRun(
+            exchange, caller, ticket, pool, self.services, call=call, edges=self.edges
+        )
+        await run.run()
+
+    def _forwarded(self, headers: Headers) -> tuple[tuple[str, str], ...]:
+        named: set[bytes] = set()
+        for name, value in headers:
+            if name == b"connection":
+                named.update(part.strip() for part in value.lower().split(b","))
+        is_forwarded = self.edges.dialect.is_forwarded
+        return tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in headers
+            if name not in named and is_forwarded(name)
+            if name.decode("latin-1") not in CONNECTION_HEADERS
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerApp:
+    """Readiness, liveness and metrics, apart from the routes."""
+
+    ready: Callable[[], bool]
+    services: Services
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send, "-")
+        path = scope["path"]
+        if path == "/readyz":
+            if self.ready():
+                await exchange.answer(200, b"ready\n", content_type=_TEXT)
+            else:
+                await exchange.answer(503, b"not ready\n", content_type=_TEXT)
+        elif path == "/healthz":
+            await exchange.answer(200, b"ok\n", content_type=_TEXT)
+        elif path == "/metrics":
+            body, headers = self.services.metrics.render()
+            content_type = headers["Content-Type"].encode()
+            await exchange.answer(200, body, content_type=content_type)
+        else:
+            await exchange.fail(RequestError(Result.NO_SUCH_PATH))
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -6,8 +6,10 @@
 import contextlib
 import logging
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any
 
 from shallotpoint.callers.access import Caller
 from shallotpoint.callers.exchange import CallerGone, Exchange
@@ -26,6 +28,7 @@
     Result.RETRY_CONNECT: Result.UPSTREAM_REFUSED,
     Result.RETRY_REFUSED: Result.UPSTREAM_REFUSED,
     Result.RETRY_BROKE: Result.UPSTREAM_BROKE,
+    Result.RETRY_ERROR: Result.UPSTREAM_BROKE,
 }
 
 
@@ -34,7 +37,7 @@
     """What every request in a router shares."""
 
     pools: PoolsController
-    client: UpstreamClient
+    client: UpstreamClient | None
     metrics: Metrics
     journal: Journal
 
@@ -73,6 +76,7 @@
             )
         )
         self.sent = False
+        self.attempts = 0
         self._end_task: asyncio.Task | None = None
         self._legs: dict[str, asyncio.Task] = {}
         self._done: asyncio.Future = asyncio.get_running_loop().create_future()
@@ -88,7 +92,7 @@
         except RequestError as exc:
             self._end(exc.result)
             with contextlib.suppress(OSError):
-                await self.exchange.fail(exc)
+                await self.fail(exc)
         finally:
             self.pool.abandon(self.ticket.id)
             for task in [*self._legs.values(), self._end_task]:
@@ -105,6 +109,14 @@
         """
         raise NotImplementedError
 
+    async def fail(self, exc: RequestError) -> None:
+        """Give the caller the final answer of a request without success."""
+        await self.exchange.fail(exc)
+
+    def end_facts(self) -> Mapping[str, Any]:
+        """Return what the log says of the end beside the result."""
+        return {}
+
     def lacks_only_its_end(self) -> bool:
         """Return whether the caller has the whole answer but for its end."""
         return False
@@ -123,6 +135,7 @@
             self.services.metrics.wait.observe(labels, waited_s)
         if hedge:
             self._note_retry(Result.RETRY_HEDGE, upstream)
+        self.attempts += 1
         self.log.note(time.time(), "hedge" if hedge else "send", upstream)
         address = self.services.pools.address_of(upstream)
         task = asyncio.create_task(self._leg_task(upstream, address))
@@ -188,6 +201,16 @@
 
     def _leg_failed(self, upstream: str, exc: UpstreamFailure) -> None:
         self.log.note(time.time(), "failed", f"{status_name(exc.reason)}: {exc}")
+        _log.info(
+            "attempt failed",
+            extra={
+                "request": self.ticket.id,
+                "pool": self.pool.pool.name,
+                "upstream": upstream,
+                "reason": status_name(exc.reason),
+                "detail": str(exc)[:200],
+            },
+        )
         if not exc.not_run:
             self.sent = True
         verdict = self.pool.failed(
@@ -255,13 +278,30 @@
         if result is not Result.OK and self.log.tokens:
             labels = {"pool": self.pool.pool.name}
             self.services.metrics.wasted.add(labels, self.log.tokens)
+        now = time.monotonic()
+        facts = {
+            "total_s": round(now - self.ticket.arrived_s, 4),
+            "attempts": self.attempts,
+            "events": self.log.tokens,
+            **self.end_facts(),
+        }
         end_request(
-            self.services, self.caller, self.ticket.id, result, self.pool.pool.name
+            self.services,
+            self.caller,
+            self.ticket.id,
+            result,
+            self.pool.pool.name,
+            facts,
         )
 
 
 def end_request(
-    services: Services, caller: Caller | None, request_id: str, result: Result, pool=""
+    services: Services,
+    caller: Caller | None,
+    request_id: str,
+    result: Result,
+    pool: str = "",
+    facts: Mapping[str, Any] = MappingProxyType({}),
 ) -> None:
     """Count, log and, for a refusal, keep the end of a request."""
     name = caller.service_class.name if caller else ""
@@ -286,6 +326,7 @@
             "class": name,
             "pool": pool,
             "result": status_name(result),
+            **facts,
         },
     )
 
--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from shallotpoint.blackboard import Blackboard
+from shallotpoint.controllers.crash_news import CRASHES_TOPIC, CrashNews, read_crashes
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.sections import (
     ConfigSection,
@@ -27,20 +28,11 @@
 from shallotpoint.policy.poison import CrashReport
 from shallotpoint.types import Clock, Seconds
 
-CRASHES_TOPIC = "crashes"
 SLOW_TOPIC = "slow"
 TICK_S = 0.1
 MIN_TICK_S = 0.03
 
 
-class _WireCrash(msgspec.Struct, frozen=True, array_like=True):
-    """A crash report on the wire; its age replaces the clock of the sender."""
-
-    fingerprint: int
-    upstream: str
-    age_s: Seconds
-
-
 class _WireSlow(msgspec.Struct, frozen=True, array_like=True):
     """A fresh verdict that an upstream is slow."""
 
@@ -48,7 +40,6 @@
     upstream: str
 
 
-_crashes = msgspec.msgpack.Decoder(list[_WireCrash])
 _slow = msgspec.msgpack.Decoder(_WireSlow)
 
 
@@ -79,7 +70,7 @@
         self._writer = PartWriter()
         self._ticked_s: Seconds = 0.0
         self._due = asyncio.Event()
-        self._crashes: list[CrashReport] = []
+        self._crashes = CrashNews(gossip)
         board.on_change(ConfigSection, lambda _: self._configure())
         board.on_change(HostsSection, lambda _: self._configure())
 
@@ -92,9 +83,7 @@
                 self._reader.take(row.origin, row.incarnation, row.topic, row.payload)
                 changed.add(row.origin)
             elif row.topic == CRASHES_TOPIC:
-                for crash in _crashes.decode(row.payload):
-                    at_s = now - crash.age_s
-                    report = CrashReport(crash.fingerprint, crash.upstream, at_s)
+                for report in read_crashes(row.payload, now=now):
                     self._pools.poison.crashed(report)
             elif row.topic == SLOW_TOPIC:
                 verdict = _slow.decode(row.payload)
@@ -118,14 +107,7 @@
 
     def crashed(self, report: CrashReport) -> None:
         """Spread a crash that was seen here."""
-        now = self._clock()
-        self._crashes = [r for r in self._crashes if now - r.at_s < 600.0][-200:]
-        self._crashes.append(report)
-        wire = [
-            _WireCrash(r.fingerprint, r.upstream, now - r.at_s) for r in self._crashes
-        ]
-        payload = msgspec.msgpack.encode(wire)
-        self._gossip.publish(CRASHES_TOPIC, payload, now=now)
+        self._crashes.add(report, now=self._clock())
         self._on_news()
 
     def judged_slow(self, pool: str, upstream: str) -> None:
--- /dev/null
+++ b/shallotpoint/controllers/directory.py
@@ -0,0 +1,238 @@
+"""Which hosts there are, followed in the key-value service.
+
+Upstreams put themselves there; routers do so under a lease, so that a router that
+is gone disappears from its peers' lists.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from shallotpoint.blackboard import Blackboard
+from shallotpoint.controllers.sections import HostsSection
+from shallotpoint.coordination.follow import PrefixFollower
+from shallotpoint.coordination.kv import (
+    Entry,
+    Expect,
+    KeyValue,
+    KeyValueError,
+    OutcomeUnknown,
+    PolledKeyValue,
+    Put,
+)
+from shallotpoint.platform_api.hosts import Host
+from shallotpoint.types import Clock, Seconds
+
+UPSTREAM_POLL_S = 1.5  # longest wait of one call; changes are told at once
+ROUTER_POLL_S = 5.0  # peers change rarely, and only load figures depend on them
+RETURN_GRACE_S = 2.2  # upstreams are listed again within two seconds of an outage
+LEASE_S = 6.0  # a router that is gone is known as such after this time
+RENEW_S = 2.0  # three chances to renew before the lease ends
+RETRY_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class UnreadableEntry(Exception):
+    """An entry that names no usable host; the message says why."""
+
+
+class _RouterEntry(msgspec.Struct, frozen=True):
+    """A router's own entry in the service."""
+
+    address: str
+    data_centre: str
+
+
+class DirectoryController:
+    """Owns :class:`HostsSection`.
+
+    Parameters
+    ----------
+    upstream_prefix, router_prefix : str
+        Where upstreams and routers are listed.
+    read_upstream : Callable
+        Reads an upstream's entry; raises :class:`UnreadableEntry`.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        kv: PolledKeyValue,
+        *,
+        upstream_prefix: str,
+        router_prefix: str,
+        read_upstream: Callable[[str, bytes], Host],
+        clock: Clock,
+        rng: random.Random,
+        on_restart: Callable[[str], None] = lambda upstream: None,
+    ):
+        self._read_upstream = read_upstream
+        self._on_restart = on_restart
+        self._upstreams: dict[str, Host] = {}
+        self._routers: dict[str, Host] = {}
+        self._read: dict[str, tuple[bytes, Host | None]] = {}
+        self._write = board.claim(HostsSection, "directory")
+        self._upstream_prefix = upstream_prefix
+        self._router_prefix = router_prefix
+        self.upstreams = PrefixFollower(
+            kv,
+            upstream_prefix,
+            clock=clock,
+            rng=rng,
+            on_change=self._take_upstreams,
+            wait_s=UPSTREAM_POLL_S,
+            grace_s=RETURN_GRACE_S,
+        )
+        self.routers = PrefixFollower(
+            kv,
+            router_prefix,
+            clock=clock,
+            rng=rng,
+            on_change=self._take_routers,
+            wait_s=ROUTER_POLL_S,
+        )
+
+    async def run(self) -> None:
+        """Follow both lists, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.upstreams.run())
+            group.create_task(self.routers.run())
+
+    def _take_upstreams(self, entries: Mapping[str, Entry]) -> None:
+        hosts = {}
+        for key, entry in entries.items():
+            name = key.removeprefix(self._upstream_prefix)
+            host = self._host(name, entry.value)
+            if host is not None:
+                hosts[name] = host
+        for name in self._read.keys() - {
+            key.removeprefix(self._upstream_prefix) for key in entries
+        }:
+            del self._read[name]
+        self._log_changes(self._upstreams, hosts)
+        self._upstreams = hosts
+        self._publish()
+
+    def _host(self, name: str, raw: bytes) -> Host | None:
+        """Return the host of an entry; one that cannot be read leaves none."""
+        known = self._read.get(name)
+        if known is not None and known[0] == raw:
+            return known[1]
+        host: Host | None = None
+        try:
+            host = self._read_upstream(name, raw)
+        except UnreadableEntry as exc:
+            _log.warning("unreadable entry", extra={"entry": name, "reason": str(exc)})
+        self._read[name] = (raw, host)
+        return host
+
+    def _take_routers(self, entries: Mapping[str, Entry]) -> None:
+        routers = {}
+        for key, entry in entries.items():
+            name = key.removeprefix(self._router_prefix)
+            try:
+                known = msgspec.json.decode(entry.value, type=_RouterEntry)
+            except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+                _log.warning(
+                    "unreadable entry", extra={"entry": name, "reason": str(exc)}
+                )
+                continue
+            routers[name] = Host(name, "router", known.address, known.data_centre)
+        self._routers = routers
+        self._publish()
+
+    def _log_changes(self, old: Mapping[str, Host], new: Mapping[str, Host]) -> None:
+        for name, host in new.items():
+            before = old.get(name)
+            if before == host:
+                continue
+            if before is not None and before.address != host.address:
+                self._on_restart(name)
+            _log.info(
+                "upstream listed",
+                extra={
+                    "upstream": name,
+                    "pool": host.pool,
+                    "address": host.address,
+                    "state": str(host.state),
+                },
+            )
+        for name in old.keys() - new.keys():
+            _log.info("upstream gone", extra={"upstream": name})
+
+    def _publish(self) -> None:
+        hosts = [*self._upstreams.values(), *self._routers.values()]
+        self._write(HostsSection(tuple(sorted(hosts, key=lambda h: h.name))))
+
+
+class RouterRegistration:
+    """Keeps this router's own entry alive under a lease."""
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        key: str,
+        *,
+        address: str,
+        data_centre: str,
+        rng: random.Random,
+    ):
+        self._kv = kv
+        self._key = key
+        self._value = msgspec.json.encode(_RouterEntry(address, data_centre))
+        self._rng = rng
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Register and renew, until cancelled."""
+        while True:
+            pause_s: Seconds = RENEW_S
+            try:
+                await self._renew()
+            except KeyValueError as exc:
+                _log.info("not registered", extra={"reason": str(exc)})
+                pause_s = RETRY_S
+            await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+
+    async def leave(self) -> None:
+        """Remove the entry at a planned stop."""
+        if not self._lease:
+            return
+        lease, self._lease = self._lease, 0
+        try:
+            await self._kv.revoke(lease)
+        except KeyValueError as exc:
+            _log.info("entry left to its lease", extra={"reason": str(exc)})
+
+    async def _renew(self) -> None:
+        if self._lease and await self._kv.keep_alive(self._lease) > 0:
+            return
+        self._lease = 0
+        lease = await self._kv.grant(LEASE_S)
+        # Repeating this write is harmless, so a lost answer needs no reading back.
+        await self._kv.txn([], [Put(self._key, self._value, lease)])
+        self._lease = lease
+
+
+async def shared_secret(kv: KeyValue, key: str, fresh: bytes) -> bytes:
+    """Return the secret that the first router stored; offers ``fresh`` as it.
+
+    Raises
+    ------
+    KeyValueError
+        The service cannot be reached.
+    """
+    while True:
+        entry = await kv.get(key)
+        if entry is not None:
+            return entry.value
+        try:
+            await kv.txn([Expect(key, 0)], [Put(key, fresh)])
+        except OutcomeUnknown:
+            _log.info("secret: outcome unknown, reading it back")
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -50,9 +50,10 @@
         clock: Clock,
         *,
         on_urgent: Callable[[], None] = lambda: None,
+        scheduler: Scheduler | None = None,
     ):
         self.pool = pool
-        self.scheduler = Scheduler(poison=poison)
+        self.scheduler = scheduler or Scheduler(poison=poison)
         self._clock = clock
         self._on_urgent = on_urgent
         self._runners: dict[str, Runner] = {}
@@ -141,8 +142,11 @@
         on_crash: Callable[[CrashReport], None] = lambda report: None,
         on_urgent: Callable[[], None] = lambda: None,
         on_slow: Callable[[str, str], None] = lambda pool, upstream: None,
+        make_scheduler: Callable[[Pool, PoisonBook], Scheduler] | None = None,
+        poison: PoisonBook | None = None,
     ):
-        self.poison = PoisonBook()
+        self.poison = poison or PoisonBook()
+        self._make_scheduler = make_scheduler
         self._board = board
         self._data_centre = data_centre
         self._clock = clock
@@ -172,8 +176,13 @@
         for name, pool in config.pools.items():
             runner = self._runners.get(name)
             if runner is None:
+                make = self._make_scheduler
                 runner = PoolRunner(
-                    pool, self.poison, self._clock, on_urgent=self._on_urgent
+                    pool,
+                    self.poison,
+                    self._clock,
+                    on_urgent=self._on_urgent,
+                    scheduler=make(pool, self.poison) if make else None,
                 )
                 self._runners[name] = runner
             runner.pool = pool
@@ -223,13 +232,15 @@
         config = self._board.get(ConfigSection).config
         credits = self._board.get(CreditsSection)
         slots = {}
-        for name in pool.upstreams:
+        names = hosts.members(pool.name) if pool.discovered else pool.upstreams
+        for name in names:
             host = hosts.find(name)
             key = credit_key(pool.name, name)
             unknown = host is None and ":" not in name
+            total = (host.slots if host else 0) or pool.slots
             slots[name] = Slots(
-                credits=credits.held.get(key, 0),
-                total=pool.slots,
+                credits=_credits(pool, key, total, credits),
+                total=total,
                 near=host is None or host.data_centre == self._data_centre,
                 draining=unknown or name in config.drained or hosts.is_leaving(name),
                 elsewhere=credits.elsewhere.get(key, 0),
@@ -237,6 +248,17 @@
         return slots
 
 
+def _credits(pool: Pool, key: str, total: int, credits: CreditsSection) -> int:
+    """Return the slots that this router may fill on an upstream.
+
+    Discovered upstreams refuse truthfully when they are full, so that what peers
+    leave by their last word may be used without a promise from them.
+    """
+    if not pool.discovered:
+        return credits.held.get(key, 0)
+    return max(1, total - credits.elsewhere.get(key, 0))
+
+
 @dataclass(frozen=True, slots=True)
 class Want:
     """What one pool could use of one upstream.
--- /dev/null
+++ b/shallotpoint/controllers/route_config.py
@@ -0,0 +1,80 @@
+"""The operators' configuration on deployments that keep it under one key."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable, Mapping
+
+from shallotpoint.blackboard import Blackboard
+from shallotpoint.controllers.sections import ConfigSection
+from shallotpoint.coordination.follow import PrefixFollower
+from shallotpoint.coordination.kv import Entry, PolledKeyValue
+from shallotpoint.policy.configuration import Config, InvalidConfig
+from shallotpoint.types import Clock
+
+POLL_S = 1.0  # the view's age, which bounds how long a withdrawn key may be used
+
+_log = logging.getLogger(__name__)
+
+
+class RouteConfigController:
+    """Owns :class:`ConfigSection`; each version is taken over in one step.
+
+    Parameters
+    ----------
+    key : str
+        Where the configuration is kept.
+    read : Callable
+        Reads it; raises :class:`InvalidConfig`, naming field and value.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        kv: PolledKeyValue,
+        *,
+        key: str,
+        read: Callable[[bytes], Config],
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._board = board
+        self._key = key
+        self._read = read
+        self._write = board.claim(ConfigSection, "config")
+        self._seen: bytes | None = None
+        self.follower = PrefixFollower(
+            kv, key, clock=clock, rng=rng, on_change=self._take, wait_s=POLL_S
+        )
+
+    async def run(self) -> None:
+        """Follow the configuration, until cancelled."""
+        await self.follower.run()
+
+    def _take(self, entries: Mapping[str, Entry]) -> None:
+        entry = entries.get(self._key)
+        if entry is None or entry.value == self._seen:
+            return
+        self._seen = entry.value
+        section = self._board.get(ConfigSection)
+        held = section.config.version
+        try:
+            config = self._read(entry.value)
+        except InvalidConfig as exc:
+            _log.error(
+                "configuration not usable, the last one stays",
+                extra={"version": held, "reason": str(exc)},
+            )
+            return
+        if config.version <= held:
+            _log.warning(
+                "older configuration ignored",
+                extra={"version": held, "offered": config.version},
+            )
+            return
+        self._write(ConfigSection(section.state, config))
+        _log.info(
+            "configuration in force",
+            extra={"version": config.version, "routes": len(config.routing.table)},
+        )
--- a/shallotpoint/controllers/sections.py
+++ b/shallotpoint/controllers/sections.py
@@ -32,6 +32,10 @@
 
     hosts: tuple[Host, ...] = ()
 
+    def members(self, pool: str) -> tuple[str, ...]:
+        """Return the names of the hosts that serve a pool."""
+        return tuple(h.name for h in self.hosts if h.pool == pool)
+
     def routers(self) -> dict[str, Host]:
         """Return the listed routers by name."""
         return {h.name: h for h in self.hosts if h.role == "router"}
--- /dev/null
+++ b/shallotpoint/coordination/follow.py
@@ -0,0 +1,223 @@
+"""A local copy of all keys under a prefix, with the age of its last proof.
+
+The copy stays in use while the service is away.  After such a gap, keys that are
+found missing are kept for a grace time, as their owners may not have been able to
+renew them and put them back; removals that are heard in normal operation apply at
+once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable, Mapping
+
+from shallotpoint.coordination.kv import (
+    Change,
+    Entry,
+    HistoryLost,
+    KeyValueError,
+    PolledKeyValue,
+)
+from shallotpoint.types import Clock, Revision, Seconds
+
+RETRY_S = 0.1  # first pause after a failed call
+LONGEST_RETRY_S = 0.8  # well below the age at which a view is no longer trusted
+GAP_S = 1.5  # without an answer for this long, the service counts as away
+
+_log = logging.getLogger(__name__)
+
+
+class FollowedCopy:
+    """The state of a copy, free of I/O; the time is an argument.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time for which a key that was lost in a gap is kept, in seconds.
+
+    Attributes
+    ----------
+    confirmed_s : float or None
+        When the copy was last surely current, in seconds.
+    """
+
+    def __init__(self, grace_s: Seconds = 0.0):
+        self.entries: dict[str, Entry] = {}
+        self.revision: Revision = 0
+        self.confirmed_s: Seconds | None = None
+        self._grace_s = grace_s
+        self._heard_s: Seconds | None = None
+        self._returned_s: Seconds | None = None
+        self._doubtful: dict[str, Seconds] = {}
+
+    def hear(self, started_s: Seconds, proved_s: Seconds, now: Seconds) -> None:
+        """Note an answer of the service.
+
+        Parameters
+        ----------
+        started_s, proved_s : float
+            When the call was sent, and the time at which the service surely
+            knew nothing newer.
+        """
+        if self._heard_s is not None and now - self._heard_s > GAP_S:
+            self._returned_s = now
+        self._heard_s = now
+        proved_s = max(started_s, proved_s)
+        self.confirmed_s = max(self.confirmed_s or proved_s, proved_s)
+
+    def replace_all(
+        self, entries: Iterable[Entry], revision: Revision, now: Seconds
+    ) -> None:
+        """Take over a full listing."""
+        listed = {entry.key: entry for entry in entries}
+        for key in self.entries.keys() - listed.keys():
+            self._remove(key, now)
+        self.entries.update(listed)
+        for key in listed:
+            self._doubtful.pop(key, None)
+        self.revision = revision
+
+    def apply(
+        self, changes: Iterable[Change], revision: Revision, now: Seconds
+    ) -> None:
+        """Take over changes."""
+        for change in changes:
+            if change.entry is None:
+                self._remove(change.key, now)
+            else:
+                self.entries[change.key] = change.entry
+                self._doubtful.pop(change.key, None)
+        self.revision = max(self.revision, revision)
+
+    def expire(self, now: Seconds) -> bool:
+        """Drop doubtful keys whose grace is over; return whether any was."""
+        over = [key for key, until_s in self._doubtful.items() if until_s <= now]
+        for key in over:
+            del self._doubtful[key]
+            self.entries.pop(key, None)
+        return bool(over)
+
+    def age_s(self, now: Seconds) -> Seconds | None:
+        """Return the time since the copy was last proved current, in seconds."""
+        return None if self.confirmed_s is None else now - self.confirmed_s
+
+    @property
+    def doubtful(self) -> bool:
+        """Whether any key is kept only for its grace time."""
+        return bool(self._doubtful)
+
+    def _remove(self, key: str, now: Seconds) -> None:
+        returned_s = self._returned_s
+        if returned_s is not None and now < returned_s + self._grace_s:
+            if key in self.entries:
+                self._doubtful.setdefault(key, returned_s + self._grace_s)
+            return
+        self.entries.pop(key, None)
+        self._doubtful.pop(key, None)
+
+
+class PrefixFollower:
+    """Keeps a :class:`FollowedCopy` up to date from a key-value service.
+
+    Parameters
+    ----------
+    wait_s : float
+        Longest time that one poll waits at the service, in seconds.
+    clock : Callable
+        Time in seconds that goes on while the host is suspended.
+    on_change : Callable
+        Called with the copy after each change.
+    """
+
+    def __init__(
+        self,
+        kv: PolledKeyValue,
+        prefix: str,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        on_change: Callable[[Mapping[str, Entry]], None],
+        wait_s: Seconds,
+        grace_s: Seconds = 0.0,
+    ):
+        self.copy = FollowedCopy(grace_s)
+        self.prefix = prefix
+        self._kv = kv
+        self._clock = clock
+        self._rng = rng
+        self._on_change = on_change
+        self._wait_s = wait_s
+        self._reachable: bool | None = None
+
+    def age_s(self, now: Seconds) -> Seconds | None:
+        """Return the time since the copy was last proved current, in seconds."""
+        return self.copy.age_s(now)
+
+    async def run(self) -> None:
+        """Follow the prefix, until cancelled."""
+        pause_s = RETRY_S
+        listed = False
+        while True:
+            try:
+                if not listed:
+                    await self._list()
+                    listed = True
+                await self._poll()
+                self._note_reachable(True)
+                pause_s = RETRY_S
+                continue
+            except HistoryLost as exc:
+                _log.info(
+                    "history lost, listing again",
+                    extra={"prefix": self.prefix, "reason": str(exc)},
+                )
+                listed = False
+                continue
+            except KeyValueError as exc:
+                self._note_reachable(False, str(exc))
+            self._expire()
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+            pause_s = min(LONGEST_RETRY_S, pause_s * 2)
+
+    async def _list(self) -> None:
+        started_s = self._clock()
+        listing = await self._kv.list_prefix(self.prefix)
+        now = self._clock()
+        self.copy.hear(started_s, started_s, now)
+        self.copy.replace_all(listing.entries, listing.revision, now)
+        self._on_change(self.copy.entries)
+
+    async def _poll(self) -> None:
+        started_s = self._clock()
+        wait_s = min(self._wait_s, 0.2) if self.copy.doubtful else self._wait_s
+        poll = await self._kv.poll(self.prefix, self.copy.revision, wait_s)
+        now = self._clock()
+        # An empty answer is given when the wait is over, and not before.
+        waited = not poll.changes and now - started_s >= wait_s
+        proved_s = started_s + wait_s if waited else started_s
+        self.copy.hear(started_s, proved_s, now)
+        self.copy.apply(poll.changes, poll.revision, now)
+        dropped = self.copy.expire(now)
+        if poll.changes or dropped:
+            self._on_change(self.copy.entries)
+
+    def _expire(self) -> None:
+        if self.copy.expire(self._clock()):
+            self._on_change(self.copy.entries)
+
+    def _note_reachable(self, reachable: bool, reason: str = "") -> None:
+        if reachable is self._reachable:
+            return
+        self._reachable = reachable
+        event = "store regained" if reachable else "store lost"
+        age_s = self.copy.age_s(self._clock())
+        _log.warning(
+            event,
+            extra={
+                "prefix": self.prefix,
+                "age_s": None if age_s is None else round(age_s, 3),
+                "reason": reason,
+            },
+        )
--- a/shallotpoint/coordination/kv.py
+++ b/shallotpoint/coordination/kv.py
@@ -17,6 +17,10 @@
     """The call did not take effect."""
 
 
+class HistoryLost(KeyValueError):
+    """The changes that were asked for are no longer kept; list again."""
+
+
 class OutcomeUnknown(KeyValueError):
     """The call was sent; whether it took effect is not known."""
 
@@ -96,6 +100,20 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """What a poll for changes brought.
+
+    Attributes
+    ----------
+    revision : int
+        Where the next poll begins.
+    """
+
+    changes: tuple[Change, ...]
+    revision: Revision
+
+
 class KeyValue(Protocol):
     """What a key-value service must offer: CAS, leases and watches.
 
@@ -127,3 +145,16 @@
         self, prefix: str, from_revision: Revision
     ) -> AsyncIterator[Sequence[Change]]:
         """Yield changes to keys with a prefix from a revision on."""
+
+
+class PolledKeyValue(KeyValue, Protocol):
+    """A key-value service whose changes are also asked for call by call."""
+
+    async def poll(self, prefix: str, after: Revision, wait_s: Seconds) -> Poll:
+        """Return changes after a revision, waiting up to ``wait_s`` for one.
+
+        Raises
+        ------
+        HistoryLost
+            The service no longer knows what changed after the revision.
+        """
--- a/shallotpoint/coordination/memory_kv.py
+++ b/shallotpoint/coordination/memory_kv.py
@@ -12,9 +12,11 @@
     Delete,
     Entry,
     Expect,
+    HistoryLost,
     Listing,
     Outcome,
     OutcomeUnknown,
+    Poll,
     Put,
     Unavailable,
 )
@@ -28,6 +30,7 @@
 
     def __init__(self) -> None:
         self.revision: Revision = 1
+        self.forgotten: Revision = 0
         self._entries: dict[str, Entry] = {}
         self._leases: dict[int, tuple[Seconds, Seconds]] = {}
         self._next_lease = 1
@@ -86,6 +89,25 @@
             if everything or until_s <= now:
                 self.revoke(lease)
 
+    def forget_history(self) -> None:
+        """Drop what changed so far, as a compaction does."""
+        self._history.clear()
+        self.forgotten = self.revision
+
+    def changes_after(self, prefix: str, after: Revision) -> list[Change]:
+        """Return the changes to keys with a prefix since a revision.
+
+        Raises
+        ------
+        HistoryLost
+            Some of them are no longer kept.
+        """
+        if after < self.forgotten:
+            raise HistoryLost(f"changes up to {self.forgotten} are dropped")
+        return [
+            c for c in self._history if c.revision > after and c.key.startswith(prefix)
+        ]
+
     def subscribe(self, from_revision: Revision) -> asyncio.Queue:
         """Return a queue of change lists from a revision on."""
         queue: asyncio.Queue = asyncio.Queue()
@@ -220,6 +242,22 @@
         finally:
             self.store.unsubscribe(queue)
 
+    async def poll(self, prefix: str, after: Revision, wait_s: Seconds) -> Poll:
+        """Return changes after a revision, waiting up to ``wait_s`` for one."""
+        self.counts.watches += 1
+        await self._begin()
+        queue = self.store.subscribe(self.store.revision + 1)
+        try:
+            async with asyncio.timeout(wait_s):
+                while not (changes := self.store.changes_after(prefix, after)):
+                    await queue.get()
+        except TimeoutError:
+            changes = []
+        finally:
+            self.store.unsubscribe(queue)
+        self._check_up()
+        return Poll(tuple(changes), self.store.revision)
+
     async def _read(self) -> None:
         self.counts.reads += 1
         await self._begin()
--- a/shallotpoint/coordination/peers.py
+++ b/shallotpoint/coordination/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
@@ -26,6 +27,8 @@
 QUERY_TIMEOUT_S = 1.5
 MIN_PAUSE_S = 0.02  # least time between two rounds when there is news
 
+_log = logging.getLogger(__name__)
+
 
 class WireSection(msgspec.Struct, frozen=True, array_like=True):
     """A configuration section on the wire."""
@@ -295,8 +298,23 @@
                     for s in message.sections
                 ]
             )
-        if fresh:
-            self._on_rows(fresh)
+        self._hand_on(fresh)
+
+    def _hand_on(self, rows: Sequence[Row]) -> None:
+        """Give rows to their readers; one that cannot be read is dropped."""
+        for row in rows:
+            try:
+                self._on_rows([row])
+            except msgspec.DecodeError as exc:
+                self.stats.malformed += 1
+                _log.warning(
+                    "unreadable row dropped",
+                    extra={
+                        "peer": row.origin,
+                        "topic": row.topic,
+                        "reason": str(exc),
+                    },
+                )
 
     def _is_my_turn(self, name: str) -> bool:
         """Let one member of each pair dial, and the other when that is silent."""
--- a/shallotpoint/daemons/demo.py
+++ b/shallotpoint/daemons/demo.py
@@ -11,9 +11,9 @@
 import aiohttp
 
 from shallotpoint.daemons.router import Router, wait_ready
+from shallotpoint.hashing import hash_key
 from shallotpoint.httpd import HttpServer
 from shallotpoint.operators.desk import Operator
-from shallotpoint.operators.fields import hash_key
 from shallotpoint.settings import (
     ListenSettings,
     OperatorToken,
--- /dev/null
+++ b/shallotpoint/daemons/route_router.py
@@ -0,0 +1,352 @@
+"""The daemon of an entry host that serves routes.
+
+The program that starts it brings the edges: a key-value client, readers of the
+configuration and of upstreams' entries, and the dialect of the headers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+import time
+from collections.abc import AsyncIterator, Callable, Sequence
+from dataclasses import dataclass
+
+from shallotpoint.blackboard import Blackboard
+from shallotpoint.callers.dialect import Dialect
+from shallotpoint.callers.ids import request_ids
+from shallotpoint.callers.route_run import RouteEdges
+from shallotpoint.callers.routes import BalancerApp, KeyView, RoutesApp
+from shallotpoint.callers.run import Services
+from shallotpoint.controllers.directory import (
+    DirectoryController,
+    RouterRegistration,
+    shared_secret,
+)
+from shallotpoint.controllers.journal import Journal
+from shallotpoint.controllers.load_sharing import LoadController
+from shallotpoint.controllers.pools import PoolsController
+from shallotpoint.controllers.route_config import RouteConfigController
+from shallotpoint.controllers.sections import ConfigSection, HostsSection, StopSection
+from shallotpoint.coordination.config import ConfigState
+from shallotpoint.coordination.gossip import Board, Row
+from shallotpoint.coordination.kv import KeyValueError, PolledKeyValue
+from shallotpoint.coordination.overlay import neighbours
+from shallotpoint.coordination.peers import ConfigPort, Peers
+from shallotpoint.coordination.transport import NngTransport, Sealer
+from shallotpoint.httpd import HttpServer
+from shallotpoint.metrics import Metrics
+from shallotpoint.platform_api.hosts import Host
+from shallotpoint.policy.configuration import Config
+from shallotpoint.policy.freshness import FreshnessRule
+from shallotpoint.policy.model import Pool, PoolKind
+from shallotpoint.policy.poison import PoisonBook
+from shallotpoint.policy.retries import SharedBudget, WindowBudget
+from shallotpoint.policy.route_placement import EnginePlacement, ServicePlacement
+from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.tuning import ROUTES
+from shallotpoint.settings import BoundSettings, RouteSettings
+from shallotpoint.types import Seconds
+from shallotpoint.upstreams.bound import BoundClient
+
+GOSSIP_S = 0.25  # peers' loads are about as old as half of this
+STOP_MARGIN_S = 0.9  # the stop ends this long before the platform would kill
+LEAVE_S = 3.2  # the balancer asks each second and leaves after two refusals
+STOP_POLL_S = 0.05
+SECRET_RETRY_S = 0.5
+MEASURE_S = 1.0
+
+_log = logging.getLogger("shallotpoint.router")
+
+
+@dataclass(frozen=True, slots=True)
+class Edges:
+    """What a deployment brings.
+
+    Attributes
+    ----------
+    config_key, upstream_prefix, router_prefix, secret_key : str
+        Places in the key-value service.
+    """
+
+    kv: PolledKeyValue
+    read_config: Callable[[bytes], Config]
+    read_upstream: Callable[[str, bytes], Host]
+    dialect: Dialect
+    config_key: str
+    upstream_prefix: str
+    router_prefix: str
+    secret_key: str
+
+
+def boot_clock() -> Seconds:
+    """Return a monotonic time that goes on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class RouteRouter:
+    """One router in this event loop.
+
+    Parameters
+    ----------
+    settings : RouteSettings
+        Checked settings.
+    edges : Edges
+        What the deployment brings.
+    """
+
+    def __init__(
+        self, settings: RouteSettings, edges: Edges, *, seed: int | None = None
+    ):
+        self.settings = settings
+        self.edges = edges
+        self.name = settings.router.name
+        self.bounds = settings.bounds
+        self.board = Blackboard()
+        self.metrics = Metrics()
+        self.journal = Journal()
+        self._rng = random.Random(seed)
+        self._clock = time.monotonic
+        self._incarnation = time.time_ns() // 1_000_000
+        self._stopping = self.board.claim(StopSection, "router")
+        self._budgets: list[WindowBudget] = []
+        self._closed = False
+        self._tasks: list[asyncio.Task] = []
+        self.gossip = Board(self.name, self._incarnation)
+        self.client = BoundClient()
+        self.poison = PoisonBook()
+        self.config = RouteConfigController(
+            self.board,
+            edges.kv,
+            key=edges.config_key,
+            read=edges.read_config,
+            clock=boot_clock,
+            rng=self._rng,
+        )
+        self.pools = PoolsController(
+            self.board,
+            data_centre=settings.router.data_centre,
+            clock=self._clock,
+            on_crash=lambda report: self.loads.crashed(report),
+            make_scheduler=self._make_scheduler,
+            poison=self.poison,
+        )
+        self.directory = DirectoryController(
+            self.board,
+            edges.kv,
+            upstream_prefix=edges.upstream_prefix,
+            router_prefix=edges.router_prefix,
+            read_upstream=edges.read_upstream,
+            clock=boot_clock,
+            rng=self._rng,
+        )
+        self.loads = LoadController(
+            self.board,
+            self.gossip,
+            self.pools,
+            clock=self._clock,
+            on_news=lambda: self.peers.poke() if self.peers else None,
+        )
+        self.registration = RouterRegistration(
+            edges.kv,
+            f"{edges.router_prefix}{self.name}",
+            address=settings.listen.peers,
+            data_centre=settings.router.data_centre,
+            rng=self._rng,
+        )
+        self.keys = KeyView(
+            rule=lambda: FreshnessRule(self.bounds.withdrawn_ms / 1000),
+            age_s=self.config.follower.age_s,
+            clock=boot_clock,
+        )
+        self.peers: Peers | None = None
+        self.board.on_change(HostsSection, self._hosts_changed)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[RouteRouter]:
+        """Run the router for the length of a ``with`` block."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self.client.close)
+            stack.push_async_callback(self._end_tasks)
+            self._start("config", self.config.run())
+            self._start("directory", self.directory.run())
+            await self._start_servers(stack)
+            self._start("pools", self.pools.run())
+            self._start("loads", self.loads.run())
+            self._start("peers", self._talk(stack))
+            self._start("gauges", self._measure())
+            yield self
+
+    def ready(self) -> bool:
+        """Return whether the balancer may send work."""
+        if self.board.get(StopSection).stopping:
+            return False
+        config = self.board.get(ConfigSection).config
+        if not config.version:
+            return False
+        return not config.routing.needs_keys or self.keys.is_current()
+
+    async def stop(self) -> None:
+        """Stop gracefully, well within the grace time.
+
+        Not ready at once; the listeners stay open while the balancer still sends
+        work; what is in flight ends by itself or just before the grace time does.
+        """
+        started_s = self._clock()
+        until_s = started_s + self.bounds.grace_ms / 1000 - STOP_MARGIN_S
+        self._stopping(StopSection(stopping=True))
+        _log.info("stopping", extra={"in_flight": self.pools.in_flight})
+        leave_s = min(started_s + LEAVE_S, until_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await self.registration.leave()
+        while self._clock() < until_s:
+            if self._clock() >= leave_s and not self.pools.in_flight:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        self._closed = True
+        _log.info("stopped", extra={"in_flight": self.pools.in_flight})
+
+    def take_bounds(self, bounds: BoundSettings) -> None:
+        """Put changed bounds in force."""
+        if bounds == self.bounds:
+            return
+        self.bounds = bounds
+        for budget in self._budgets:
+            budget.shared = _shared_budget(bounds)
+        _log.info("bounds changed", extra={"withdrawn_ms": bounds.withdrawn_ms})
+
+    # Construction
+
+    def _make_scheduler(self, pool: Pool, poison: PoisonBook) -> Scheduler:
+        budget = WindowBudget(_shared_budget(self.bounds), routers=self._routers())
+        self._budgets.append(budget)
+        engine = pool.kind is PoolKind.ENGINE
+        return Scheduler(
+            tuning=ROUTES,
+            poison=poison,
+            placement=EnginePlacement() if engine else ServicePlacement(),
+            budget=budget,
+        )
+
+    def _routers(self) -> int:
+        return max(1, len(self.board.get(HostsSection).routers()))
+
+    def _hosts_changed(self, hosts: HostsSection) -> None:
+        for budget in self._budgets:
+            budget.routers = self._routers()
+        self.client.keep(h.name for h in hosts.hosts)
+
+    async def _start_servers(self, stack: contextlib.AsyncExitStack) -> None:
+        # The product's client field is for chats; routes bring their own.
+        services = Services(self.pools, None, self.metrics, self.journal)
+        app = RoutesApp(
+            board=self.board,
+            services=services,
+            edges=RouteEdges(self.client, self.edges.dialect),
+            keys=self.keys,
+            stopping=lambda: self.board.get(StopSection).stopping,
+            accepting=lambda: not self._closed,
+            ids=request_ids(),
+        )
+        balancer = BalancerApp(self.ready, services)
+        await self._serve(stack, balancer, self.settings.listen.balancer)
+        await self._serve(stack, app, self.settings.listen.callers)
+
+    async def _serve(self, stack, app, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        server = HttpServer(app, host=host, port=int(port))
+        await server.start()
+        stack.push_async_callback(server.stop, grace_s=0.3)
+
+    # Peers
+
+    async def _talk(self, stack: contextlib.AsyncExitStack) -> None:
+        """Register, then exchange loads and crash reports with peers."""
+        secret = await self._secret()
+        transport = NngTransport(Sealer(secret))
+        stack.callback(transport.close)
+        self.peers = Peers(
+            self.gossip,
+            transport,
+            config=ConfigPort(ConfigState, lambda sections: None),
+            answer=_no_answer,
+            clock=self._clock,
+            rng=self._rng,
+            on_rows=self._take_rows,
+        )
+        listening = transport.listening(self.settings.listen.peers, self.peers.handle)
+        async with listening:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.registration.run())
+                group.create_task(
+                    self.peers.run(
+                        lambda: self._neighbours(transport), every_s=GOSSIP_S
+                    )
+                )
+
+    async def _secret(self) -> bytes:
+        while True:
+            try:
+                return await shared_secret(
+                    self.edges.kv, self.edges.secret_key, secrets.token_bytes(32)
+                )
+            except KeyValueError as exc:
+                _log.info("no secret for peers yet", extra={"reason": str(exc)})
+                await asyncio.sleep(SECRET_RETRY_S * self._rng.uniform(0.8, 1.2))
+
+    def _neighbours(self, transport: NngTransport) -> dict[str, str]:
+        routers = self.board.get(HostsSection).routers()
+        transport.forget({h.address for h in routers.values()})
+        self.gossip.forget(now=self._clock(), keep=routers)
+        chosen = neighbours(self.name, routers)
+        return {name: routers[name].address for name in chosen if name in routers}
+
+    def _take_rows(self, rows: Sequence[Row]) -> None:
+        self.loads.take_rows(rows)
+
+    # Background
+
+    def _start(self, name: str, coro) -> None:
+        task = asyncio.create_task(coro, name=name)
+        task.add_done_callback(_log_end)
+        self._tasks.append(task)
+
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _measure(self) -> None:
+        """Bring the gauges up to date."""
+        while True:
+            await asyncio.sleep(MEASURE_S)
+            self.metrics.config_version.set(
+                {}, self.board.get(ConfigSection).config.version
+            )
+            for runner in self.pools.runners():
+                scheduler = runner.scheduler
+                for name in scheduler.class_names():
+                    labels = {"pool": runner.pool.name, "class": name}
+                    self.metrics.queued.set(labels, scheduler.queue_length(name))
+                    self.metrics.running.set(labels, scheduler.running_count(name))
+
+
+def _shared_budget(bounds: BoundSettings) -> SharedBudget:
+    return SharedBudget(
+        ratio=bounds.retry_ratio,
+        slack=bounds.retry_slack,
+        window_s=bounds.retry_window_ms / 1000,
+    )
+
+
+async def _no_answer(body: bytes) -> bytes:
+    return b""
+
+
+def _log_end(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("task %s died", task.get_name(), exc_info=task.exception())
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -14,7 +14,8 @@
 
 from shallotpoint.blackboard import Blackboard
 from shallotpoint.callers.access import KeyIndex
-from shallotpoint.callers.app import CallersApp, request_ids
+from shallotpoint.callers.app import CallersApp
+from shallotpoint.callers.ids import request_ids
 from shallotpoint.callers.run import Services
 from shallotpoint.controllers.config import ConfigController, is_ready
 from shallotpoint.controllers.credits import SharingController
--- /dev/null
+++ b/shallotpoint/daemons/serving.py
@@ -0,0 +1,84 @@
+"""Runs a router for routes as a process: settings, logs and signals."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import signal
+from collections.abc import Callable
+
+from shallotpoint.daemons.route_router import Edges, RouteRouter
+from shallotpoint.logs import set_up_bounded_logging
+from shallotpoint.loop import run_loop
+from shallotpoint.settings import RouteSettings, load_route_settings
+from shallotpoint.types import Seconds
+
+SETTINGS_POLL_S = 0.5  # settings may change without a signal
+
+_log = logging.getLogger("shallotpoint.router")
+
+
+def run_route_router(path: str, edges: Callable[[RouteSettings], Edges]) -> int:
+    """Run a router until SIGTERM; return the exit code of the process."""
+    try:
+        settings = load_route_settings(path)
+    except ExceptionGroup as group:
+        set_up_bounded_logging("info")
+        for exc in group.exceptions:
+            _log.error("bad setting", extra={"reason": str(exc)})
+        return 2
+    set_up_bounded_logging(settings.log.level, router=settings.router.name)
+    run_loop(_serve(path, settings, edges))
+    return 0
+
+
+async def _serve(path: str, settings: RouteSettings, make_edges) -> None:
+    stop, reload = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    router = RouteRouter(settings, make_edges(settings))
+    async with router.running():
+        _log.info("started", extra={"callers": settings.listen.callers})
+        reloading = asyncio.create_task(_reload(path, router, reload))
+        try:
+            await stop.wait()
+        finally:
+            reloading.cancel()
+        await router.stop()
+
+
+async def _reload(path: str, router: RouteRouter, reload: asyncio.Event) -> None:
+    """Take over changed settings, on SIGHUP or when the file is another one."""
+    seen = _stamp(path)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(reload.wait(), SETTINGS_POLL_S)
+        asked = reload.is_set()
+        reload.clear()
+        stamp = _stamp(path)
+        if stamp == seen and not asked:
+            continue
+        seen = stamp
+        try:
+            settings = load_route_settings(path)
+        except ExceptionGroup as group:
+            for exc in group.exceptions:
+                _log.error(
+                    "bad setting, the last ones stay", extra={"reason": str(exc)}
+                )
+            continue
+        router.take_bounds(settings.bounds)
+        _log.info("settings read again", extra={"signal": asked})
+
+
+def _stamp(path: str) -> tuple[Seconds, int, int]:
+    try:
+        found = os.stat(path)
+    except OSError as exc:
+        _log.warning("settings file", extra={"reason": str(exc)})
+        return (0.0, 0, 0)
+    return (found.st_mtime, found.st_size, found.st_ino)
--- a/shallotpoint/operators/app.py
+++ b/shallotpoint/operators/app.py
@@ -10,8 +10,8 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from shallotpoint.hashing import hash_key
 from shallotpoint.operators.desk import Desk, Operator, Reply
-from shallotpoint.operators.fields import hash_key
 from shallotpoint.results import RESULTS, Result
 from shallotpoint.settings import OperatorToken
 
--- a/shallotpoint/operators/fields.py
+++ b/shallotpoint/operators/fields.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from shallotpoint.errors import OperatorError
+from shallotpoint.hashing import hash_key
 from shallotpoint.operators.commands import read_duration_s
 from shallotpoint.policy import configuration
 from shallotpoint.policy.model import PoolKind
@@ -62,11 +62,6 @@
         raise ValueError(f"{text!r} is not allowed; use engine or service") from None
 
 
-def hash_key(key: str) -> str:
-    """Return the form in which API keys and operator tokens are stored."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 @dataclass(frozen=True, slots=True)
 class FieldSpec:
     """How one field is stored and read."""
--- a/shallotpoint/platform_api/hosts.py
+++ b/shallotpoint/platform_api/hosts.py
@@ -31,6 +31,10 @@
         ``router``, ``engine`` or ``service``.
     address : str
         ``host:port`` at which the role is served; for routers, to peers.
+    pool : str
+        Pool that the host serves, where the list says so.
+    slots : int
+        Requests that it runs at once; 0 where the list does not say.
     """
 
     name: str
@@ -38,6 +42,8 @@
     address: str
     data_centre: str
     state: HostState = HostState.LIVE
+    pool: str = ""
+    slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotpoint/policy/configuration.py
+++ b/shallotpoint/policy/configuration.py
@@ -15,6 +15,7 @@
     PoolKind,
     ServiceClass,
 )
+from shallotpoint.policy.routes import Routing
 from shallotpoint.types import Revision
 
 SHARDS = 64  # sections that hold the organisations, and as many the exceptions
@@ -59,6 +60,7 @@
     organisations: Mapping[str, Organisation] = field(default_factory=dict)
     drained: frozenset[str] = frozenset()
     orders: Mapping[str, UpstreamOrder] = field(default_factory=dict)
+    routing: Routing = field(default_factory=Routing)
 
     def pool_for_model(self, model: str) -> Pool | None:
         """Return the pool that serves a model, or None."""
--- /dev/null
+++ b/shallotpoint/policy/engine_load.py
@@ -0,0 +1,147 @@
+"""What a router expects of each engine: its queue, its cache and its pace.
+
+An engine reads prompts one after the other, in chunks between the tokens of what
+it already answers.  The model counts the prompt tokens that are still to be read
+and predicts the first token of one more request.  Rates differ between engines
+and change, so a pace per engine scales the prediction by what was seen.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from shallotpoint.policy.prompts import Prompt
+from shallotpoint.types import Seconds
+
+READ_TOKENS_PER_S = 80_000.0  # first guess; the pace corrects it within some answers
+FIRST_TOKEN_S = 0.07  # an idle engine's time to first token for an empty prompt
+SLOT_STEP_S = 0.0006  # rise of the time between events for each request in the batch
+PARTS_KEPT = 2_000  # shared parts remembered for each engine
+PART_KEPT_S = 60.0  # an unused part is likely evicted after this long
+PACE_GAIN = 0.15  # weight of the newest answer in the pace
+PACE_RANGE = (0.4, 8.0)  # bounds of the pace, so that one outlier cannot eject
+PACE_FORGET_S = 10.0  # an unused engine's bad pace halves in this time
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A request whose prompt is still being read.
+
+    Attributes
+    ----------
+    tokens : float
+        Prompt tokens that the engine had to read when it was sent.
+    expected_s : float
+        Predicted time to first token, in seconds, for a pace of 1.
+    """
+
+    tokens: float
+    tier: int
+    sent_s: Seconds
+    expected_s: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Requests of other routers on one engine, by their last word.
+
+    Attributes
+    ----------
+    reading_tokens : int
+        Prompt tokens that are still to be read.
+    running : int
+        Requests sent and not ended.
+    """
+
+    reading_tokens: int = 0
+    running: int = 0
+
+
+@dataclass(slots=True)
+class EngineLoad:
+    """One engine as one router sees it."""
+
+    reading: dict[str, Reading] = field(default_factory=dict)
+    running: set[str] = field(default_factory=set)
+    parts: OrderedDict[str, Seconds] = field(default_factory=OrderedDict)
+    pace: float = 1.0
+    paced_s: Seconds = 0.0
+    peers: PeerLoad = PeerLoad()
+
+    def unread_tokens(self, prompt: Prompt, now: Seconds) -> float:
+        """Return the tokens that the engine would have to read."""
+        known = 0
+        for part in prompt.shared:
+            used_s = self.parts.get(part.id)
+            if used_s is None or now - used_s > PART_KEPT_S:
+                break
+            known += part.tokens
+        return max(0.0, prompt.tokens_in - known)
+
+    def backlog_tokens(self, tier: int, now: Seconds) -> float:
+        """Return the prompt tokens read before a new request of a tier.
+
+        Less urgent prompts wait behind it, but for the one that is being read.
+        """
+        ahead, behind = 0.0, 0.0
+        for item in self.reading.values():
+            read = max(0.0, now - item.sent_s - FIRST_TOKEN_S) * READ_TOKENS_PER_S
+            left = max(0.0, item.tokens - read / max(1, len(self.reading)))
+            if item.tier <= tier:
+                ahead += left
+            else:
+                behind = max(behind, left)
+        return ahead + behind + self.peers.reading_tokens
+
+    def own_reading_tokens(self) -> int:
+        """Return the prompt tokens sent by this router and still to be read."""
+        return int(sum(item.tokens for item in self.reading.values()))
+
+    def current_pace(self, now: Seconds) -> float:
+        """Return the pace; a bad one is forgotten while nothing is sent."""
+        if self.pace <= 1.0:
+            return self.pace
+        return 1.0 + (self.pace - 1.0) * 0.5 ** ((now - self.paced_s) / PACE_FORGET_S)
+
+    @property
+    def batch(self) -> int:
+        """Requests on the engine, of this router and of others."""
+        return len(self.running) + self.peers.running
+
+    def first_token_s(self, unread: float, tier: int, now: Seconds) -> Seconds:
+        """Predict the time to first token at a pace of 1, in seconds."""
+        tokens = unread + self.backlog_tokens(tier, now)
+        return FIRST_TOKEN_S + tokens / READ_TOKENS_PER_S + self.batch * SLOT_STEP_S
+
+    def send(self, request: str, prompt: Prompt, tier: int, now: Seconds) -> None:
+        """Note that a request was sent."""
+        unread = self.unread_tokens(prompt, now)
+        expected_s = self.first_token_s(unread, tier, now)
+        self.reading[request] = Reading(unread, tier, now, expected_s)
+        self.running.add(request)
+        for part in prompt.shared:
+            self.parts[part.id] = now
+            self.parts.move_to_end(part.id)
+        while len(self.parts) > PARTS_KEPT:
+            self.parts.popitem(last=False)
+
+    def answer(self, request: str, now: Seconds) -> None:
+        """Note the first token of a request."""
+        item = self.reading.pop(request, None)
+        if item is None:
+            return
+        seen = (now - item.sent_s) / item.expected_s
+        pace = self.current_pace(now)
+        low, high = PACE_RANGE
+        self.pace = min(high, max(low, pace + PACE_GAIN * (seen - pace)))
+        self.paced_s = now
+
+    def end(self, request: str) -> None:
+        """Note that a request is no longer on the engine."""
+        self.reading.pop(request, None)
+        self.running.discard(request)
+
+    def clear(self) -> None:
+        """Forget what the engine kept, as it started anew."""
+        self.parts.clear()
--- a/shallotpoint/policy/model.py
+++ b/shallotpoint/policy/model.py
@@ -95,6 +95,8 @@
         Requests that one upstream runs at once.
     idempotent : bool
         Whether calls may be repeated; others need an ``Idempotency-Key``.
+    discovered : bool
+        Whether its upstreams are those that the host list names for it.
     """
 
     name: str
@@ -103,14 +105,22 @@
     upstreams: tuple[str, ...] = ()
     slots: int = 8
     idempotent: bool = True
+    discovered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
-    """A holder of an API key and the classes that it may use."""
+    """A holder of API keys and the classes that it may use.
+
+    Attributes
+    ----------
+    tier : int or None
+        Rank of its requests on routes, from 0; None leaves it to the route.
+    """
 
     name: str
     key_hash: str
     classes: tuple[str, ...] = ()
     default_class: str = ""
     weight: float = 1.0
+    tier: int | None = None
--- a/shallotpoint/policy/placement.py
+++ b/shallotpoint/policy/placement.py
@@ -3,18 +3,79 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Protocol
 
-from shallotpoint.policy.dispatch import choose
+from shallotpoint.policy.dispatch import PrefixMap, choose
 from shallotpoint.policy.state import PoolState
 from shallotpoint.policy.ticket import Course, Ticket
+from shallotpoint.results import Result
 from shallotpoint.types import Seconds
 
 PATIENT_TTFT_S = 5.0  # classes with a later target are used for probes first
 PROBE_ANYWAY_S = 5.0  # a probe that is overdue by this may use other work
 
 
+class Placement(Protocol):
+    """Chooses upstreams and hears what became of the choice."""
+
+    def choose(
+        self, state: PoolState, course: Course, free: Sequence[str], now: Seconds
+    ) -> str | None:
+        """Return one of the upstreams with a free slot, or None to wait."""
+
+    def sent(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note that a request was sent."""
+
+    def answered(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note the first part of an answer."""
+
+    def failed(
+        self, course: Course, upstream: str, reason: Result, now: Seconds
+    ) -> None:
+        """Note a failed attempt."""
+
+    def ended(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note that the request is no longer on the upstream."""
+
+
+class ByExpectedWait:
+    """Places by expected wait, health verdicts and cached prompts."""
+
+    def __init__(self) -> None:
+        self._prefixes = PrefixMap()
+
+    def choose(
+        self, state: PoolState, course: Course, free: Sequence[str], now: Seconds
+    ) -> str | None:
+        """Return the upstream with the least expected wait, or None."""
+        cached = None
+        if state.tuning.affinity:
+            cached = self._prefixes.upstream_for(course.ticket.prefix)
+        return choose_upstream(state, course, free, now, cached_on=cached)
+
+    def sent(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Remember where the prompt's start is cached."""
+        self._prefixes.note(course.ticket.prefix, upstream)
+
+    def answered(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Nothing to note; the health book measures answers."""
+
+    def failed(
+        self, course: Course, upstream: str, reason: Result, now: Seconds
+    ) -> None:
+        """Nothing to note; the health book counts failures."""
+
+    def ended(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Nothing to note; the slots count what runs."""
+
+
 def choose_upstream(
-    state: PoolState, course: Course, free: Sequence[str], now: Seconds
+    state: PoolState,
+    course: Course,
+    free: Sequence[str],
+    now: Seconds,
+    *,
+    cached_on: str | None,
 ) -> str | None:
     """Return the upstream for a request among those with a free slot, or None.
 
@@ -30,11 +91,8 @@
         if state.is_usable(name) and _suits_suspect(state, course, name)
     ]
     fresh = [name for name in allowed if name not in course.tried]
-    cached = None
-    if state.tuning.affinity:
-        cached = state.prefixes.upstream_for(course.ticket.prefix)
     return choose(
-        (state.candidate(name, now) for name in fresh or allowed), cached_on=cached
+        (state.candidate(name, now) for name in fresh or allowed), cached_on=cached_on
     )
 
 
--- a/shallotpoint/policy/rescue.py
+++ b/shallotpoint/policy/rescue.py
@@ -191,7 +191,7 @@
 
 def stalled(state: PoolState, now: Seconds) -> list[Course]:
     """Return streams whose upstream fell silent, to be carried on elsewhere."""
-    if not state.tuning.move_slow:
+    if not state.tuning.move_silent:
         return []
     limit_s = max(STALL_MIN_S, STALL_RATIO * state.health.median_tbt_s())
     found = []
--- a/shallotpoint/policy/retries.py
+++ b/shallotpoint/policy/retries.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
+from dataclasses import dataclass
+
 from shallotpoint.types import Seconds
 
 DEPOSIT = 0.1  # retries earned by one success
@@ -62,3 +65,72 @@
         earned = max(0.0, now - last_s) * self._floor_per_s
         self._balance = min(self._capacity, self._balance + earned)
         self._updated_s = now
+
+
+@dataclass(frozen=True, slots=True)
+class SharedBudget:
+    """What all routers together may send again to one pool.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats allowed for each request.
+    slack : float
+        Repeats allowed in a window beside those.
+    window_s : float
+        Length of the sliding window, in seconds.
+    margin : float
+        Part that is used; the rest covers what other routers count differently.
+    """
+
+    ratio: float = 0.2
+    slack: float = 10.0
+    window_s: Seconds = 10.0
+    margin: float = 0.7
+
+
+class WindowBudget:
+    """One router's part of a :class:`SharedBudget`, over a sliding window.
+
+    Examples
+    --------
+    >>> budget = WindowBudget(SharedBudget(slack=2.0, margin=1.0), routers=2)
+    >>> budget.spend(now=0.0), budget.spend(now=0.0)
+    (True, False)
+    >>> for _ in range(5):
+    ...     budget.request(now=1.0)
+    >>> budget.spend(now=1.0), budget.spend(now=1.0)
+    (True, False)
+    >>> budget.spend(now=11.5)
+    True
+    """
+
+    def __init__(self, shared: SharedBudget, *, routers: int = 1):
+        self.shared = shared
+        self.routers = routers
+        self._requests: deque[Seconds] = deque()
+        self._repeats: deque[Seconds] = deque()
+
+    def request(self, now: Seconds) -> None:
+        """Count a new request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def succeed(self, now: Seconds) -> None:
+        """Nothing to earn: requests are counted as they come."""
+
+    def spend(self, now: Seconds) -> bool:
+        """Take one repeat; False when there is none to take."""
+        self._forget(now)
+        shared = self.shared
+        allowed = shared.ratio * len(self._requests)
+        allowed += shared.slack / max(1, self.routers)
+        if len(self._repeats) + 1 > allowed * shared.margin:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: Seconds) -> None:
+        for times in (self._requests, self._repeats):
+            while times and times[0] < now - self.shared.window_s:
+                times.popleft()
--- /dev/null
+++ b/shallotpoint/policy/route_placement.py
@@ -0,0 +1,215 @@
+"""Which upstream takes a request on a route: engines by their model, others by load.
+
+Answers the load patterns of bursts of long prompts beside short ones: a short
+prompt goes where no long one is being read, and a prompt that shares its start
+with others goes where that start was read, unless the wait there is longer than
+reading it again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from shallotpoint.coordination.overlay import rendezvous_score
+from shallotpoint.policy.engine_load import (
+    READ_TOKENS_PER_S,
+    EngineLoad,
+    PeerLoad,
+)
+from shallotpoint.policy.prompts import Prompt
+from shallotpoint.policy.state import PoolState
+from shallotpoint.policy.ticket import Course
+from shallotpoint.results import Result
+from shallotpoint.types import Seconds
+
+FAR_S = 0.001  # two ways between data centres of one region
+HOME_SHARE = 0.6  # part of a shared start expected at the engine that all agree on
+STALL_WEIGHT = 0.25  # a delay of running streams against one of the new request
+FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
+LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
+FAILURE_GAIN = 0.15  # weight of the newest outcome in the failure share
+FAILURE_WEIGHT_S = 2.0  # what a certain failure costs, in seconds of waiting
+_DEAD = (Result.RETRY_CONNECT, Result.UPSTREAM_TIMEOUT)
+
+
+@dataclass(slots=True)
+class _Record:
+    """How an upstream has done lately."""
+
+    failing: float = 0.0
+    avoid_s: Seconds = 0.0
+    until_s: Seconds = 0.0
+    answer_s: Seconds = 0.0
+
+
+@dataclass(slots=True)
+class _Book:
+    """Failures of the upstreams of one pool."""
+
+    records: dict[str, _Record] = field(default_factory=dict)
+
+    def __getitem__(self, upstream: str) -> _Record:
+        return self.records.setdefault(upstream, _Record())
+
+    def keep(self, upstreams: set[str]) -> None:
+        for name in self.records.keys() - upstreams:
+            del self.records[name]
+
+    def succeed(self, upstream: str) -> None:
+        record = self[upstream]
+        record.failing -= FAILURE_GAIN * record.failing
+        record.avoid_s = record.until_s = 0.0
+
+    def fail(self, upstream: str, reason: Result, now: Seconds) -> None:
+        record = self[upstream]
+        record.failing += FAILURE_GAIN * (1.0 - record.failing)
+        if reason not in _DEAD:
+            return
+        term_s = record.avoid_s * 2 or FIRST_AVOID_S
+        record.avoid_s = min(LONGEST_AVOID_S, term_s)
+        record.until_s = now + record.avoid_s
+
+    def candidates(
+        self, course: Course, free: Sequence[str], now: Seconds
+    ) -> Sequence[str]:
+        """Leave out what was tried or is avoided, while there is another."""
+        untried = [name for name in free if name not in course.tried]
+        pool = untried or free
+        open_now = [name for name in pool if self[name].until_s <= now]
+        return open_now or pool
+
+
+class EnginePlacement:
+    """Places prompts on engines by predicted delay, to it and to others."""
+
+    def __init__(self) -> None:
+        self.loads: dict[str, EngineLoad] = {}
+        self._book = _Book()
+
+    def choose(
+        self, state: PoolState, course: Course, free: Sequence[str], now: Seconds
+    ) -> str | None:
+        """Return the engine with the least cost, or None."""
+        self._forget_gone(state)
+        prompt = course.ticket.prompt or Prompt()
+        tier = course.ticket.service_class.tier
+        home = self._home(prompt, state)
+        best: tuple[float, str] | None = None
+        for name in self._book.candidates(course, free, now):
+            cost_s = self._cost_s(name, prompt, tier, name == home, now)
+            if not state.upstreams[name].near:
+                cost_s += FAR_S
+            if best is None or (cost_s, name) < best:
+                best = (cost_s, name)
+        return best[1] if best else None
+
+    def sent(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note that a request was sent."""
+        ticket = course.ticket
+        prompt = ticket.prompt or Prompt()
+        self.load(upstream).send(ticket.id, prompt, ticket.service_class.tier, now)
+
+    def answered(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note the first token."""
+        self.load(upstream).answer(course.ticket.id, now)
+        self._book.succeed(upstream)
+
+    def failed(
+        self, course: Course, upstream: str, reason: Result, now: Seconds
+    ) -> None:
+        """Note a failed attempt."""
+        self._book.fail(upstream, reason, now)
+        if reason is Result.RETRY_CONNECT:
+            self.load(upstream).clear()
+
+    def ended(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note that the request is no longer there."""
+        self.load(upstream).end(course.ticket.id)
+
+    def load(self, upstream: str) -> EngineLoad:
+        """Return the load of one engine."""
+        return self.loads.setdefault(upstream, EngineLoad())
+
+    def hear(self, loads: dict[str, PeerLoad]) -> None:
+        """Take over what peers have on the engines."""
+        for name in {*self.loads, *loads}:
+            self.load(name).peers = loads.get(name, PeerLoad())
+
+    def _cost_s(
+        self, name: str, prompt: Prompt, tier: int, at_home: bool, now: Seconds
+    ) -> Seconds:
+        load = self.load(name)
+        unread = load.unread_tokens(prompt, now)
+        if at_home and unread >= prompt.tokens_in:
+            unread -= HOME_SHARE * sum(part.tokens for part in prompt.shared)
+        own_s = load.first_token_s(unread, tier, now) * load.current_pace(now)
+        stalled_s = unread / READ_TOKENS_PER_S * load.batch * STALL_WEIGHT
+        return own_s + stalled_s + self._book[name].failing * FAILURE_WEIGHT_S
+
+    def _home(self, prompt: Prompt, state: PoolState) -> str:
+        """Return the engine that all routers try first for a shared start."""
+        names = [n for n, slots in state.upstreams.items() if not slots.draining]
+        if not prompt.family or not names:
+            return ""
+        return max(names, key=lambda name: rendezvous_score(name, prompt.family))
+
+    def _forget_gone(self, state: PoolState) -> None:
+        if len(self.loads) <= len(state.upstreams):
+            return
+        self._book.keep(set(state.upstreams))
+        for name in self.loads.keys() - state.upstreams.keys():
+            del self.loads[name]
+
+
+class ServicePlacement:
+    """Places calls on plain services by load, distance and recent failures."""
+
+    def __init__(self) -> None:
+        self._book = _Book()
+
+    def choose(
+        self, state: PoolState, course: Course, free: Sequence[str], now: Seconds
+    ) -> str | None:
+        """Return the upstream with the least cost, or None."""
+        self._book.keep(set(state.upstreams))
+        best: tuple[float, str] | None = None
+        for name in self._book.candidates(course, free, now):
+            slots = state.upstreams[name]
+            record = self._book[name]
+            load = (len(slots.running) + slots.elsewhere) / max(1, slots.total)
+            cost_s = (record.answer_s + FAR_S) * (1.0 + load)
+            cost_s += record.failing * FAILURE_WEIGHT_S
+            if not slots.near:
+                cost_s += FAR_S
+            key = (cost_s, rendezvous_key(name, course.ticket.id))
+            if best is None or key < best:
+                best = key
+                chosen = name
+        return chosen if best else None
+
+    def sent(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Nothing to note; the slots count what runs."""
+
+    def answered(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Note the time of an answer."""
+        record = self._book[upstream]
+        leg = course.leg_on(upstream)
+        if leg is not None:
+            seen_s = now - leg.sent_s
+            record.answer_s += FAILURE_GAIN * (seen_s - record.answer_s)
+        self._book.succeed(upstream)
+
+    def failed(
+        self, course: Course, upstream: str, reason: Result, now: Seconds
+    ) -> None:
+        """Note a failed attempt."""
+        self._book.fail(upstream, reason, now)
+
+    def ended(self, course: Course, upstream: str, now: Seconds) -> None:
+        """Nothing to note; the slots count what runs."""
+
+
+def rendezvous_key(upstream: str, request: str) -> str:
+    """Return a key that spreads equal choices over the upstreams."""
+    return f"{rendezvous_score(upstream, request):020d}"
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Mapping
 
-from shallotpoint.policy import admission, ordering, placement, rescue
+from shallotpoint.policy import admission, ordering, rescue
 from shallotpoint.policy.actions import (
     Action,
     Admission,
@@ -23,8 +23,10 @@
 )
 from shallotpoint.policy.health import HealthBook
 from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.placement import ByExpectedWait, Placement
 from shallotpoint.policy.poison import CrashReport, PoisonBook
 from shallotpoint.policy.queueing import FairQueue
+from shallotpoint.policy.retries import WindowBudget
 from shallotpoint.policy.state import PoolState, Slots
 from shallotpoint.policy.ticket import Course, Leg, Ticket
 from shallotpoint.policy.tuning import Tuning
@@ -47,6 +49,10 @@
         Switches for measurements.
     poison : PoisonBook, optional
         Shared among the pools of a router.
+    placement : Placement, optional
+        Chooses upstreams; by expected wait and cached prompts by default.
+    budget : WindowBudget, optional
+        Retry budget that all routers share.
 
     Examples
     --------
@@ -59,8 +65,17 @@
     ['engine-1']
     """
 
-    def __init__(self, *, tuning: Tuning | None = None, poison=None):
+    def __init__(
+        self,
+        *,
+        tuning: Tuning | None = None,
+        poison=None,
+        placement: Placement | None = None,
+        budget: WindowBudget | None = None,
+    ):
         self._state = PoolState(tuning or Tuning(), poison or PoisonBook())
+        self._state.shared_budget = budget
+        self.placement: Placement = placement or ByExpectedWait()
         self.crash_reports: list[CrashReport] = []
         self._expiries: list[tuple[Seconds, str]] = []
         self._swept_s: Seconds = -math.inf
@@ -74,6 +89,10 @@
         used = {c.ticket.service_class.name for c in self.courses.values()}
         kept = {n: c for n, c in self._state.classes.items() if n in used}
         self._state.classes = {**kept, **classes}
+        queues = self._state.queues
+        self._state.queues = {
+            n: q for n, q in queues.items() if n in self._state.classes
+        }
 
     def set_upstreams(self, slots: Mapping[str, Slots]) -> None:
         """Take over credits, load elsewhere and draining marks."""
@@ -162,6 +181,8 @@
         cls = ticket.service_class
         self._state.classes.setdefault(cls.name, cls)
         self._state.demand[cls.name].arrive(now)
+        if self._state.shared_budget is not None:
+            self._state.shared_budget.request(now)
         assessed = admission.assess(self._state, ticket, now)
         if isinstance(assessed, Refused):
             return assessed
@@ -184,6 +205,7 @@
             leg.first_s = now
             self._state.starting.pop(ticket_id, None)
             self.health.answered(upstream, now - leg.sent_s, now)
+            self.placement.answered(course, upstream, now)
             actions = self._drop_other_legs(course, leg, now)
         elif leg.last_s is not None and tokens:
             self.health.progressed(upstream, (now - leg.last_s) / tokens)
@@ -240,6 +262,8 @@
         if course is None or course.leg_on(upstream) is None:
             return None
         self._note_failure(course, upstream, reason, now)
+        if reason is not Result.RETRY_CONNECT:
+            course.reached += 1
         self._end_leg(course, upstream, now)
         if course.legs:
             return None
@@ -350,9 +374,7 @@
                     state, cls, now, free=open_slots, gives_way=gives_way
                 ):
                     continue
-            upstream = placement.choose_upstream(
-                state, self.courses[ticket.id], free, now
-            )
+            upstream = self.placement.choose(state, self.courses[ticket.id], free, now)
             if upstream is None:
                 continue
             state.queues[cls.name].pop()
@@ -374,7 +396,7 @@
         if not hedge:
             self._state.charge(course, PREPAID_TOKENS)
             course.prepaid = PREPAID_TOKENS
-        self._state.prefixes.note(ticket.prefix, upstream)
+        self.placement.sent(course, upstream, now)
         return Send(ticket, upstream, hedge)
 
     # Preemption and moves
@@ -424,6 +446,7 @@
 
     def _withdraw(self, course: Course, reason: Result, now: Seconds) -> Withdraw:
         upstream = course.legs[0].upstream
+        course.reached += 1
         self._end_leg(course, upstream, now)
         self._requeue(course, now)
         return Withdraw(course.ticket, upstream, reason, requeued=True)
@@ -432,6 +455,7 @@
 
     def _note_failure(self, course, upstream: str, reason: Result, now) -> None:
         self.health.failed(upstream, now)
+        self.placement.failed(course, upstream, reason, now)
         if reason not in (Result.RETRY_BROKE, Result.RETRY_CARRY_ON):
             return
         fingerprint = course.ticket.fingerprint
@@ -482,6 +506,7 @@
             return
         ticket = course.ticket
         course.legs.remove(leg)
+        self.placement.ended(course, upstream, now)
         if not course.legs:
             self._state.starting.pop(ticket.id, None)
         slots = self.upstreams[upstream]
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field
 
 from shallotpoint.policy.demand import Demand
-from shallotpoint.policy.dispatch import Candidate, PrefixMap
+from shallotpoint.policy.dispatch import Candidate
 from shallotpoint.policy.health import HealthBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.poison import PoisonBook
 from shallotpoint.policy.queueing import FairQueue
-from shallotpoint.policy.retries import RetryBudget
+from shallotpoint.policy.retries import RetryBudget, WindowBudget
 from shallotpoint.policy.shares import ShareLedger
 from shallotpoint.policy.ticket import Course, Ticket
 from shallotpoint.policy.tuning import Tuning
@@ -60,6 +60,8 @@
         Ids of requests that wait upstream for their first token, in order.
     running : dict
         Slots held, by class.
+    shared_budget : WindowBudget or None
+        Replaces the budgets by class and upstream where all routers share one.
     """
 
     tuning: Tuning
@@ -72,9 +74,9 @@
     running: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     demand: dict[str, Demand] = field(default_factory=lambda: defaultdict(Demand))
     shares: ShareLedger = field(default_factory=ShareLedger)
-    prefixes: PrefixMap = field(default_factory=PrefixMap)
     starting: dict[str, None] = field(default_factory=dict)
     budgets: dict[tuple[str, str], RetryBudget] = field(default_factory=dict)
+    shared_budget: WindowBudget | None = None
 
     @property
     def waiting_count(self) -> int:
@@ -115,8 +117,10 @@
         """Return whether a class has had clearly less than its share."""
         return self.shares.owed(class_name) >= OWED_SLOTS
 
-    def budget(self, ticket: Ticket, upstream: str) -> RetryBudget:
+    def budget(self, ticket: Ticket, upstream: str) -> RetryBudget | WindowBudget:
         """Return the retry budget of a request's class on an upstream."""
+        if self.shared_budget is not None:
+            return self.shared_budget
         key = (ticket.service_class.name, upstream)
         budget = self.budgets.get(key)
         if budget is None:
--- a/shallotpoint/policy/ticket.py
+++ b/shallotpoint/policy/ticket.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.prompts import Prompt
 from shallotpoint.types import Seconds
 
 
@@ -20,6 +21,12 @@
         Hash of the start of the prompt; zero when it has none worth caching.
     resumable : bool
         Whether a broken answer can be carried on from the text so far.
+    limit_s : float or None
+        The request's own time limit, as a point in time in seconds.
+    max_attempts : int or None
+        Upstreams that it may be sent to; None leaves it to the policy.
+    prompt : Prompt or None
+        Its prompt, where the caller describes it.
     """
 
     id: str
@@ -32,6 +39,9 @@
     idempotent: bool = True
     resumable: bool = False
     weight: float = 1.0
+    limit_s: Seconds | None = None
+    max_attempts: int | None = None
+    prompt: Prompt | None = None
 
     @property
     def due_s(self) -> Seconds:
@@ -43,7 +53,10 @@
     def expires_s(self) -> Seconds | None:
         """Time after which the request no longer waits; None for never."""
         patience_s = self.service_class.patience_s
-        return None if patience_s is None else self.arrived_s + patience_s
+        until_s = None if patience_s is None else self.arrived_s + patience_s
+        if until_s is None or self.limit_s is None:
+            return until_s
+        return min(until_s, self.limit_s)
 
     @property
     def preemptible(self) -> bool:
@@ -77,7 +90,13 @@
 
 @dataclass(slots=True)
 class Course:
-    """The progress of one admitted request in this router."""
+    """The progress of one admitted request in this router.
+
+    Attributes
+    ----------
+    reached : int
+        Upstreams that the request was sent to and that may have read it.
+    """
 
     ticket: Ticket
     queued_s: Seconds
@@ -87,6 +106,7 @@
     prepaid: int = 0
     moves: int = 0
     preemptions: int = 0
+    reached: int = 0
     suspect: bool = False
 
     def leg_on(self, upstream: str) -> Leg | None:
--- a/shallotpoint/policy/tuning.py
+++ b/shallotpoint/policy/tuning.py
@@ -37,6 +37,8 @@
         Eject upstreams that are slow or down.
     fill_with_preemptible : bool
         Let work that gives way take reserved and capped slots.
+    move_silent : bool
+        Carry streams on elsewhere when their upstream falls silent.
     patient_probes : bool
         Try ejected upstreams out with patient work first.
     """
@@ -54,3 +56,16 @@
     health: bool = True
     patient_probes: bool = True
     fill_with_preemptible: bool = True
+    move_silent: bool = True
+
+
+ROUTES = Tuning(
+    reserve=False,
+    caps=False,
+    preempt_after=None,
+    hedge_ratio=None,
+    move_slow=False,
+    affinity=False,
+    health=False,
+)
+"""For pools behind routes: engines order by priority, the placement knows them."""
--- a/shallotpoint/policy/verdicts.py
+++ b/shallotpoint/policy/verdicts.py
@@ -38,7 +38,11 @@
         return Result.STREAM_CUT
     if sent and course.moves >= MAX_MOVES:
         return broke
+    if ticket.max_attempts is not None and course.reached >= ticket.max_attempts:
+        return broke if sent else Result.UPSTREAM_REFUSED
     course.moves += 1
+    if reason is Result.RETRY_CONNECT and ticket.max_attempts is not None:
+        return None if course.moves <= MAX_MOVES else Result.UPSTREAM_REFUSED
     if ticket.service_class.protected:
         return None
     if not state.budget(ticket, upstream).spend(now):
--- a/shallotpoint/results.py
+++ b/shallotpoint/results.py
@@ -57,6 +57,8 @@
     UPSTREAM_REFUSED = 208
     RETRY_BUDGET_EMPTY = 209
     REJECTED = 211
+    STALE_VIEW = 212
+    NO_ROUTE = 213
 
     UPSTREAM_BROKE = 300
     OUTCOME_UNKNOWN = 301
@@ -72,6 +74,7 @@
     RETRY_CARRY_ON = 403
     RETRY_HEDGE = 404
     RETRY_PREEMPTED = 405
+    RETRY_ERROR = 406
 
     ACCEPTED = 500
     CONFLICT = 501
@@ -241,6 +244,14 @@
         _FIX,
         "check that the upstream serves what the pool promises",
     ),
+    Result.STALE_VIEW: _refusal(
+        503,
+        "the router has not heard for too long which keys are valid",
+        _LATER,
+        "check the way from the router to the key-value service",
+        retryable=True,
+    ),
+    Result.NO_ROUTE: _refusal(404, "no route leads from the host and path", _FIX),
     Result.UPSTREAM_BROKE: _failure(
         502,
         Executed.UNKNOWN,
@@ -314,6 +325,10 @@
         "the request gave up its slot to a higher tier and was queued again",
         "add capacity if this is frequent",
     ),
+    Result.RETRY_ERROR: _retry(
+        "the upstream answered with an error of its own; another was tried",
+        "read the upstream's logs",
+    ),
     Result.ACCEPTED: _operator(200, "the change is stored", "nothing"),
     Result.CONFLICT: _operator(
         409,
--- a/shallotpoint/settings.py
+++ b/shallotpoint/settings.py
@@ -9,11 +9,13 @@
 from collections.abc import Callable, Mapping
 from dataclasses import MISSING, dataclass, field, fields, is_dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from shallotpoint.errors import SettingError
 from shallotpoint.types import Seconds
 
+T = TypeVar("T")
+
 
 def _setting(check: Callable[[Any], str | None], **kwargs: Any) -> Any:
     """Declare a setting; ``check`` returns what is allowed if a value is not."""
@@ -182,8 +184,73 @@
     log: LogSettings = LogSettings()
 
 
+@dataclass(frozen=True, slots=True)
+class RouteListenSettings:
+    """Addresses of a router that serves routes.
+
+    Attributes
+    ----------
+    balancer : str
+        Where the balancer asks whether the router is ready; metrics too.
+    """
+
+    callers: str = _setting(_address)
+    balancer: str = _setting(_address)
+    peers: str = _setting(_address)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The platform's key-value service."""
+
+    address: str = _setting(_address)
+
+
+@dataclass(frozen=True, slots=True)
+class BoundSettings:
+    """Bounds that operators promise to callers.
+
+    Attributes
+    ----------
+    withdrawn_ms : int
+        A withdrawn key is refused this long after its removal, in ms.
+    grace_ms : int
+        A planned stop ends within this, in ms.
+    retry_ratio, retry_slack, retry_window_ms
+        What all routers together may send again to one pool: a part of its
+        requests and a number, in each window of this length in ms.
+    """
+
+    withdrawn_ms: int = _setting(_positive, default=5_000)
+    grace_ms: int = _setting(_positive, default=8_000)
+    retry_ratio: float = _setting(_not_negative, default=0.2)
+    retry_slack: float = _setting(_not_negative, default=10.0)
+    retry_window_ms: int = _setting(_positive, default=10_000)
+
+
+@dataclass(frozen=True, slots=True)
+class RouteSettings:
+    """All settings of a router that serves routes."""
+
+    router: RouterSettings
+    listen: RouteListenSettings
+    store: StoreSettings
+    bounds: BoundSettings = BoundSettings()
+    log: LogSettings = LogSettings()
+
+
 def load_settings(path: str | Path) -> Settings:
-    """Read and check a settings file.
+    """Read and check the settings file of a router."""
+    return read_settings(_load(path))
+
+
+def load_route_settings(path: str | Path) -> RouteSettings:
+    """Read and check the settings file of a router that serves routes."""
+    return _read_all(RouteSettings, _load(path))
+
+
+def _load(path: str | Path) -> Mapping[str, Any]:
+    """Return the tables of a settings file.
 
     Raises
     ------
@@ -191,17 +258,26 @@
         Of :class:`~shallotpoint.errors.SettingError`, one for each bad key.
     """
     try:
-        raw = tomllib.loads(Path(path).read_text())
+        return tomllib.loads(Path(path).read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         fault = SettingError(str(path), str(exc), "a readable TOML file")
         raise ExceptionGroup("bad settings", [fault]) from None
-    return read_settings(raw)
 
 
 def read_settings(raw: Mapping[str, Any]) -> Settings:
-    """Check settings that were read already."""
+    """Check settings that were read already.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of :class:`~shallotpoint.errors.SettingError`, one for each bad key.
+    """
+    return _read_all(Settings, raw)
+
+
+def _read_all(cls: type[T], raw: Mapping[str, Any]) -> T:
     faults: list[SettingError] = []
-    settings = _read_table(Settings, raw, "", faults)
+    settings = _read_table(cls, raw, "", faults)
     if faults:
         raise ExceptionGroup("bad settings", faults)
     return settings
--- a/shallotpoint/tests/test_scheduler.py
+++ b/shallotpoint/tests/test_scheduler.py
@@ -270,3 +270,16 @@
             made.abandon(name, now)
             running.pop(name)
             ended.add(name)
+
+
+class ClassChangeTests(TestCase):
+    def test_a_class_that_is_no_longer_used_leaves_no_queue_behind(self):
+        made = scheduler()
+        branch = ServiceClass("counter/branch", tier=1)
+        made.offer(ticket("a", branch), 0.0)
+        made.poll(0.0)
+        made.finished("a", "e0", 0.1)
+        made.finished("a", "e1", 0.1)
+        made.set_classes(CLASSES)
+        admitted = made.offer(ticket("b", COUNTER), 0.2)
+        self.assertIsInstance(admitted, Admitted)
--- /dev/null
+++ b/shallotpoint/upstreams/bound.py
@@ -0,0 +1,153 @@
+"""Connections that belong to one upstream, not to its address.
+
+An address may be given to another upstream later, so connections are pooled by
+the upstream's name and closed when it leaves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass
+
+import aiohttp
+import yarl
+
+from shallotpoint.types import Seconds
+from shallotpoint.upstreams.client import Outgoing, translating_failures
+
+CONNECT_S = 0.7  # many times a connection's set-up within a region
+KEPT_IDLE_S = 2.0  # below the usual idle limit of servers, which close without notice
+USER_TIMEOUT_MS = 2_000  # bytes unacknowledged for this long end a connection
+PROBE_AFTER_S = 1  # an idle or silent connection is probed after this time
+PROBE_EVERY_S = 1
+PROBES = 2
+_NO_BODY = (
+    "User-Agent",
+    "Accept-Encoding",
+    "Accept",
+    "Content-Type",
+)
+
+
+@dataclass(slots=True)
+class _Sessions:
+    """One upstream's connections: kept ones, and such for a single request."""
+
+    kept: aiohttp.ClientSession
+    single: aiohttp.ClientSession
+
+    async def close(self) -> None:
+        await self.kept.close()
+        await self.single.close()
+
+
+class BoundClient:
+    """Sends requests to upstreams by name."""
+
+    def __init__(self) -> None:
+        self._sessions: dict[str, _Sessions] = {}
+        self._closing: set[asyncio.Task] = set()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self.keep(())
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def keep(self, upstreams: Iterable[str]) -> None:
+        """Close idle connections of all upstreams but these.
+
+        Requests that run on the others end first.
+        """
+        for name in self._sessions.keys() - set(upstreams):
+            task = asyncio.create_task(self._close_when_idle(self._sessions.pop(name)))
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    @contextlib.asynccontextmanager
+    async def sending(
+        self,
+        upstream: str,
+        address: str,
+        outgoing: Outgoing,
+        *,
+        repeatable: bool,
+        timeout_s: Seconds,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request and yield the response once its headers are there.
+
+        A request that may not be repeated gets a connection of its own, as on a
+        kept one a close by the other side cannot be told from a lost answer.
+
+        Raises
+        ------
+        UpstreamFailure
+            The attempt failed, here or while the body was read.
+        """
+        sessions = self._sessions.get(upstream)
+        if sessions is None:
+            sessions = self._sessions[upstream] = _Sessions(
+                self._session(kept=True), self._session(kept=False)
+            )
+        session = sessions.kept if repeatable else sessions.single
+        with translating_failures(address):
+            async with session.request(
+                outgoing.method,
+                yarl.URL(f"http://{address}{outgoing.path}", encoded=True),
+                data=outgoing.body or None,
+                headers=outgoing.headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_S),
+            ) as resp:
+                yield resp
+
+    async def _close_when_idle(self, sessions: _Sessions) -> None:
+        for session in (sessions.kept, sessions.single):
+            connector = session.connector
+            while connector is not None and getattr(connector, "_acquired", None):
+                await asyncio.sleep(0.25)
+        await sessions.close()
+
+    def _session(self, *, kept: bool) -> aiohttp.ClientSession:
+        session = aiohttp.ClientSession(
+            connector=watched_connector(kept=kept),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_NO_BODY,
+        )
+        # The client would repeat a GET on its own; only the policy may decide that.
+        session._retry_connection = False
+        return session
+
+
+def watched_connector(*, kept: bool = True) -> aiohttp.TCPConnector:
+    """Return a connector whose connections notice a silent peer.
+
+    Parameters
+    ----------
+    kept : bool
+        Whether connections serve more than one request.
+    """
+    idle = {"keepalive_timeout": KEPT_IDLE_S} if kept else {}
+    return aiohttp.TCPConnector(
+        limit=0,
+        force_close=not kept,
+        use_dns_cache=False,
+        socket_factory=_watched_socket,
+        **idle,
+    )
+
+
+def _watched_socket(info) -> socket.socket:
+    """Return a socket that the kernel ends when its peer has gone silent."""
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    return sock
--- a/shallotpoint/upstreams/client.py
+++ b/shallotpoint/upstreams/client.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -98,7 +98,7 @@
         """
         session = self._pooled if repeatable else self._single
         url = f"{self._scheme}://{address}{outgoing.path}"
-        try:
+        with translating_failures(address):
             async with session.request(
                 outgoing.method,
                 url,
@@ -111,18 +111,6 @@
                         Result.RETRY_REFUSED, f"{address} answered {resp.status}"
                     )
                 yield resp
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            raise UpstreamFailure(
-                Result.RETRY_CONNECT, f"{address} cannot be reached: {exc}"
-            ) from exc
-        except TimeoutError as exc:
-            raise UpstreamFailure(
-                Result.UPSTREAM_TIMEOUT, f"{address} was silent too long"
-            ) from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            raise UpstreamFailure(
-                Result.RETRY_BROKE, f"{address} broke off: {exc!r}"
-            ) from exc
 
     async def get_json(self, address: str, path: str, *, timeout_s: Seconds) -> dict:
         """Return a small JSON document, such as a load report."""
@@ -176,6 +164,25 @@
         )
 
 
+@contextlib.contextmanager
+def translating_failures(address: str) -> Iterator[None]:
+    """Turn the errors of an attempt into :class:`UpstreamFailure`."""
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise UpstreamFailure(
+            Result.RETRY_CONNECT, f"{address} cannot be reached: {exc}"
+        ) from exc
+    except TimeoutError as exc:
+        raise UpstreamFailure(
+            Result.UPSTREAM_TIMEOUT, f"{address} was silent too long"
+        ) from exc
+    except (aiohttp.ClientError, OSError) as exc:
+        raise UpstreamFailure(
+            Result.RETRY_BROKE, f"{address} broke off: {exc!r}"
+        ) from exc
+
+
 async def read_all(resp: aiohttp.ClientResponse) -> bytes:
     """Return a whole body; UpstreamFailure when it is larger than allowed."""
     parts = []
--- /dev/null
+++ b/shallotpoint/upstreams/event_ids.py
@@ -0,0 +1,48 @@
+"""Ids of server-sent events, for streams that are carried on elsewhere."""
+
+from __future__ import annotations
+
+import re
+
+_ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+_END = b"\n\n"
+
+
+def last_event_id(events: bytes) -> bytes | None:
+    """Return the id of the last event that has one, or None.
+
+    Examples
+    --------
+    >>> last_event_id(b"id: 3\\ndata: a\\n\\nid: 4\\ndata: b\\n\\n")
+    b'4'
+    """
+    at = events.rfind(b"id:")
+    while at >= 0:
+        if at == 0 or events[at - 1 : at] == b"\n":
+            match = _ID.match(events, at)
+            if match is not None:
+                return match[1].strip()
+        at = events.rfind(b"id:", 0, at)
+    return None
+
+
+def without_repeats(events: bytes, last: bytes) -> bytes:
+    """Return whole events without those up to an id, by numeric order.
+
+    Examples
+    --------
+    >>> without_repeats(b"id: 4\\ndata: b\\n\\nid: 5\\ndata: c\\n\\n", b"4")
+    b'id: 5\\ndata: c\\n\\n'
+    """
+    if not last.isdigit():
+        return events
+    kept = []
+    for event in events.split(_END):
+        if not event:
+            continue
+        match = _ID.search(event)
+        number = match[1].strip() if match else b""
+        if number.isdigit() and int(number) <= int(last):
+            continue
+        kept.append(event + _END)
+    return b"".join(kept)
