Placement: tight streams and long prompts on different engines, homes by family

Shared parts known everywhere (the first one) hid the home of a family, so that 262k tokens were read again. Ruled out: waiting (no queue), first tokens.

--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -52,7 +52,7 @@
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.bound import BoundClient
 
-GOSSIP_S = 0.25  # peers' loads are about as old as half of this
+GOSSIP_S = 0.5  # peers' loads are about as old as half of this
 STOP_MARGIN_S = 0.9  # the stop ends this long before the platform would kill
 LEAVE_S = 3.2  # the balancer asks each second and leaves after two refusals
 STOP_POLL_S = 0.05
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -1,9 +1,11 @@
 """Which upstream takes a request on a route: engines by their model, others by load.
 
-Answers the load patterns of bursts of long prompts beside short ones: a short
-prompt goes where no long one is being read, and a prompt that shares its start
-with others goes where that start was read, unless the wait there is longer than
-reading it again.
+Answers the load patterns of bursts of long prompts beside short ones.  An engine
+reads a long prompt in chunks between the tokens of its streams, so that each of
+them pauses.  All routers therefore agree, from the list of engines alone, on a part
+of the engines that streams with the tightest pauses use first and long prompts
+last.  A prompt that shares its start with others goes where that start was read,
+unless the wait there is longer than reading it again.
 """
 
 from __future__ import annotations
@@ -11,7 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from shallotpoint.coordination.overlay import rendezvous_score
+from shallotpoint.coordination.overlay import rank, rendezvous_score
 from shallotpoint.policy.engine_load import (
     READ_TOKENS_PER_S,
     EngineLoad,
@@ -24,8 +26,15 @@
 from shallotpoint.types import Seconds
 
 FAR_S = 0.001  # two ways between data centres of one region
-HOME_SHARE = 0.6  # part of a shared start expected at the engine that all agree on
+HOME_SHARE = 0.8  # part of a shared start expected at the engine that all agree on
+REREAD_WEIGHT = 2.0  # reading a shared start again also delays all others there
 STALL_WEIGHT = 0.25  # a delay of running streams against one of the new request
+QUIET_PART = 0.3  # part of the engines that streams with tight pauses use first
+TIGHT_RATIO = 1.25  # pauses up to this multiple of the tightest count as tight
+BULKY_TOKENS = 4_000  # a prompt of two chunks or more, which pauses streams
+OUT_OF_PART_S = 0.25  # a tight stream beside a long prompt is likely late
+BULKY_THERE_S = 0.1  # a long prompt delays the tight streams to come
+BULKY_PER_STREAM_S = 0.1  # and each one that runs there
 FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
 FAILURE_GAIN = 0.15  # weight of the newest outcome in the failure share
@@ -94,10 +103,14 @@
         self._forget_gone(state)
         prompt = course.ticket.prompt or Prompt()
         tier = course.ticket.service_class.tier
-        home = self._home(prompt, state)
+        quiet = quiet_part(state)
+        tight = _is_tight(state, course)
+        home = _home(prompt, state, quiet if tight else None)
         best: tuple[float, str] | None = None
         for name in self._book.candidates(course, free, now):
-            cost_s = self._cost_s(name, prompt, tier, name == home, now)
+            unread = self._unread(name, prompt, name == home, now)
+            cost_s = self._cost_s(name, prompt, unread, tier, now)
+            cost_s += self._part_cost_s(name, unread, tight, quiet)
             if not state.upstreams[name].near:
                 cost_s += FAR_S
             if best is None or (cost_s, name) < best:
@@ -136,23 +149,34 @@
         for name in {*self.loads, *loads}:
             self.load(name).peers = loads.get(name, PeerLoad())
 
+    def _unread(self, name: str, prompt: Prompt, at_home: bool, now: Seconds) -> float:
+        """Return the tokens that the engine would likely have to read."""
+        unread = self.load(name).unread_tokens(prompt, now)
+        if not at_home:
+            return unread
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
+        return unread - HOME_SHARE * max(0.0, unread - own)
+
     def _cost_s(
-        self, name: str, prompt: Prompt, tier: int, at_home: bool, now: Seconds
+        self, name: str, prompt: Prompt, unread: float, tier: int, now: Seconds
     ) -> Seconds:
         load = self.load(name)
-        unread = load.unread_tokens(prompt, now)
-        if at_home and unread >= prompt.tokens_in:
-            unread -= HOME_SHARE * sum(part.tokens for part in prompt.shared)
+        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
         own_s = load.first_token_s(unread, tier, now) * load.current_pace(now)
         stalled_s = unread / READ_TOKENS_PER_S * load.batch * STALL_WEIGHT
-        return own_s + stalled_s + self._book[name].failing * FAILURE_WEIGHT_S
+        reread_s = max(0.0, unread - own) / READ_TOKENS_PER_S * REREAD_WEIGHT
+        failing_s = self._book[name].failing * FAILURE_WEIGHT_S
+        return own_s + stalled_s + reread_s + failing_s
 
-    def _home(self, prompt: Prompt, state: PoolState) -> str:
-        """Return the engine that all routers try first for a shared start."""
-        names = [n for n, slots in state.upstreams.items() if not slots.draining]
-        if not prompt.family or not names:
-            return ""
-        return max(names, key=lambda name: rendezvous_score(name, prompt.family))
+    def _part_cost_s(
+        self, name: str, unread: float, tight: bool, quiet: frozenset[str]
+    ) -> Seconds:
+        """Return what it costs to mix tight streams with long prompts."""
+        if tight:
+            return 0.0 if name in quiet else OUT_OF_PART_S
+        if unread < BULKY_TOKENS or name not in quiet:
+            return 0.0
+        return BULKY_THERE_S + BULKY_PER_STREAM_S * len(self.load(name).running)
 
     def _forget_gone(self, state: PoolState) -> None:
         if len(self.loads) <= len(state.upstreams):
@@ -162,6 +186,41 @@
             del self.loads[name]
 
 
+def quiet_part(state: PoolState) -> frozenset[str]:
+    """Return the engines that streams with tight pauses use first.
+
+    All routers come to the same part from the same list of engines.
+    """
+    names = _open(state)
+    if len(names) < 2:
+        return frozenset()
+    count = max(1, round(len(names) * QUIET_PART))
+    return frozenset(rank(names, "quiet")[:count])
+
+
+def _open(state: PoolState) -> list[str]:
+    return [name for name, slots in state.upstreams.items() if not slots.draining]
+
+
+def _is_tight(state: PoolState, course: Course) -> bool:
+    """Return whether a stream's pauses are among the tightest of the pool."""
+    pause_s = course.ticket.service_class.tbt_s
+    if pause_s is None:
+        return False
+    known = [cls.tbt_s for cls in state.classes.values() if cls.tbt_s is not None]
+    return pause_s <= min(known, default=pause_s) * TIGHT_RATIO
+
+
+def _home(prompt: Prompt, state: PoolState, part: frozenset[str] | None) -> str:
+    """Return the engine that all routers try first for a shared start."""
+    names = _open(state)
+    quiet = quiet_part(state)
+    usable = [n for n in names if (n in quiet) == (part is not None)] or names
+    if not prompt.family or not usable:
+        return ""
+    return max(usable, key=lambda name: rendezvous_score(name, prompt.family))
+
+
 class ServicePlacement:
     """Places calls on plain services by load, distance and recent failures."""
 
--- a/shallotpoint/upstreams/bound.py
+++ b/shallotpoint/upstreams/bound.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 import yarl
@@ -130,7 +131,7 @@
     kept : bool
         Whether connections serve more than one request.
     """
-    idle = {"keepalive_timeout": KEPT_IDLE_S} if kept else {}
+    idle: dict[str, Any] = {"keepalive_timeout": KEPT_IDLE_S} if kept else {}
     return aiohttp.TCPConnector(
         limit=0,
         force_close=not kept,
