A reset that the loop tells as a plain end breaks the body

Trace: connection_lost(None) with 37 bytes read. libuv reports an end where data and a reset come in one turn; the socket still holds the error. Ruled out: the library's own reading of an end (first try, kept), a body that the upstream ended in order.

--- a/shallotpoint/upstreams/bound.py
+++ b/shallotpoint/upstreams/bound.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import functools
+import os
 import socket
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
@@ -54,12 +55,29 @@
     end for that one.
     """
 
+    def eof_received(self) -> None:
+        """Look for a reset behind the end of the connection.
+
+        The event loop tells a reset that came together with data as a plain end.
+        """
+        transport = self.transport
+        sock = transport.get_extra_info("socket") if transport is not None else None
+        if sock is not None:
+            number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if number:
+                self._break_body(OSError(number, os.strerror(number)))
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Mark a body that is still open as broken if the end was a reset."""
+        if exc is not None:
+            self._break_body(exc)
+        super().connection_lost(exc)
+
+    def _break_body(self, exc: BaseException) -> None:
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        if payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(f"cut: {exc!r}"))
-        super().connection_lost(exc)
 
 
 class BoundClient:
@@ -157,7 +175,8 @@
         **idle,
     )
     loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(_ResetAware, loop=loop)
+    factory = functools.partial(_ResetAware, loop=loop)
+    connector._factory = factory  # type: ignore[assignment]
     return connector
 
 
