--- a/shallotpoint/tests/test_bound.py
+++ b/shallotpoint/tests/test_bound.py
@@ -13,6 +13,8 @@
 
 
 class FakeSocket:
+    family = socket.AF_UNIX  # for which the library sets no options
+
     def __init__(self, error):
         self.error = error
 
