--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -86,6 +86,10 @@
         self._last_event = call.facts.last_event
         self._kept: _KeptAnswer | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._upstream: str | None = None
+        self._first_s: Seconds | None = None
+        self._event_s: Seconds = 0.0
+        self._pause_s: Seconds = 0.0
 
     async def run(self) -> None:
         """Serve the request to its end, within its time limit."""
@@ -98,6 +102,7 @@
 
     async def leg(self, upstream: str, address: str) -> None:
         """Try the request on one upstream."""
+        self._upstream = upstream
         left_s = self._left_s()
         if left_s <= 0.0:
             raise UpstreamFailure(Result.RETRY_CONNECT, "no time is left")
@@ -125,7 +130,13 @@
 
     def end_facts(self) -> Mapping[str, Any]:
         """Return what the log says beside the result."""
-        return {"route": self._call.route.name, "tier": self._call.tier}
+        facts: dict[str, Any] = {"tier": self._call.tier, "upstream": self._upstream}
+        if self._first_s is not None:
+            facts["first_s"] = round(self._first_s, 4)
+            facts["pause_s"] = round(self._pause_s, 4)
+        if self.ticket.prompt is not None:
+            facts["prompt_tokens"] = self.ticket.prompt.tokens_in
+        return facts
 
     # Sending
 
@@ -215,10 +226,20 @@
             raise UpstreamFailure(Result.RETRY_BROKE, "cut within an event")
         await self.exchange.write(b"", more=False)
 
+    def _time_events(self) -> None:
+        """Note the time to the first event and the longest pause."""
+        now = time.monotonic()
+        if self._first_s is None:
+            self._first_s = now - self.ticket.arrived_s
+        else:
+            self._pause_s = max(self._pause_s, now - self._event_s)
+        self._event_s = now
+
     async def _write_events(self, upstream: str, events: bytes) -> None:
         last = last_event_id(events)
         if last is not None:
             self._last_event = last
+        self._time_events()
         count = events.count(b"\n\n")
         self.log.tokens += count
         self.pool.progress(self.ticket.id, upstream, count)
