--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -31,10 +31,10 @@
 STALL_WEIGHT = 0.25  # a delay of running streams against one of the new request
 QUIET_PART = 0.3  # part of the engines that streams with tight pauses use first
 TIGHT_RATIO = 1.25  # pauses up to this multiple of the tightest count as tight
-BULKY_TOKENS = 4_000  # a prompt of two chunks or more, which pauses streams
-OUT_OF_PART_S = 0.25  # a tight stream beside a long prompt is likely late
-BULKY_THERE_S = 0.1  # a long prompt delays the tight streams to come
-BULKY_PER_STREAM_S = 0.1  # and each one that runs there
+READ_UNNOTICED = 500  # tokens; a quarter of a chunk pauses no stream noticeably
+TIGHT_SLACK = 1.0  # a tight stream leaves its part if it gains its whole target
+OTHER_SLACK = 0.7  # other work may wait this part of its target in its own part
+NO_TARGET_S = 1.0  # used for work without a target
 FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
 FAILURE_GAIN = 0.15  # weight of the newest outcome in the failure share
@@ -110,7 +110,7 @@
         for name in self._book.candidates(course, free, now):
             unread = self._unread(name, prompt, name == home, now)
             cost_s = self._cost_s(name, prompt, unread, tier, now)
-            cost_s += self._part_cost_s(name, unread, tight, quiet)
+            cost_s += _part_cost_s(course, name in quiet, tight, unread)
             if not state.upstreams[name].near:
                 cost_s += FAR_S
             if best is None or (cost_s, name) < best:
@@ -168,16 +168,6 @@
         failing_s = self._book[name].failing * FAILURE_WEIGHT_S
         return own_s + stalled_s + reread_s + failing_s
 
-    def _part_cost_s(
-        self, name: str, unread: float, tight: bool, quiet: frozenset[str]
-    ) -> Seconds:
-        """Return what it costs to mix tight streams with long prompts."""
-        if tight:
-            return 0.0 if name in quiet else OUT_OF_PART_S
-        if unread < BULKY_TOKENS or name not in quiet:
-            return 0.0
-        return BULKY_THERE_S + BULKY_PER_STREAM_S * len(self.load(name).running)
-
     def _forget_gone(self, state: PoolState) -> None:
         if len(self.loads) <= len(state.upstreams):
             return
@@ -186,6 +176,14 @@
             del self.loads[name]
 
 
+def _part_cost_s(course: Course, quiet: bool, tight: bool, unread: float) -> Seconds:
+    """Return the time that a request would rather wait than leave its part."""
+    if quiet == tight or (quiet and unread < READ_UNNOTICED):
+        return 0.0
+    target_s = course.ticket.service_class.ttft_s or NO_TARGET_S
+    return target_s * (TIGHT_SLACK if tight else OTHER_SLACK)
+
+
 def quiet_part(state: PoolState) -> frozenset[str]:
     """Return the engines that streams with tight pauses use first.
 
