--- a/shallotpoint/policy/engine_load.py
+++ b/shallotpoint/policy/engine_load.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from shallotpoint.policy.prompts import Prompt
@@ -19,6 +19,9 @@
 SLOT_STEP_S = 0.0006  # rise of the time between events for each request in the batch
 PARTS_KEPT = 2_000  # shared parts remembered for each engine
 PART_KEPT_S = 60.0  # an unused part is likely evicted after this long
+DUTY_WINDOW_S = 1.0  # over which an engine's reading is counted
+CLEAN_TOKENS = 3_000  # prompts that are long enough to measure the reading rate
+RATE_GAIN = 0.1  # weight of the newest prompt in the measured rate
 PACE_GAIN = 0.15  # weight of the newest answer in the pace
 PACE_RANGE = (0.4, 8.0)  # bounds of the pace, so that one outlier cannot eject
 PACE_FORGET_S = 10.0  # an unused engine's bad pace halves in this time
@@ -52,16 +55,40 @@
         Prompt tokens that are still to be read.
     running : int
         Requests sent and not ended.
+    recent_tokens : int
+        Prompt tokens sent within the last :data:`DUTY_WINDOW_S`.
     """
 
     reading_tokens: int = 0
     running: int = 0
+    recent_tokens: int = 0
+
+
+class ReadingRate:
+    """How fast the engines of a pool read prompts, from prompts read alone."""
+
+    def __init__(self) -> None:
+        self._token_s: Seconds = 1.0 / READ_TOKENS_PER_S
+
+    @property
+    def tokens_per_s(self) -> float:
+        """Prompt tokens that one engine reads a second."""
+        return 1.0 / self._token_s
+
+    def observe(self, tokens: float, first_token_s: Seconds) -> None:
+        """Take in the time to first token of a prompt that was read alone."""
+        seen_s = max(0.0, first_token_s - FIRST_TOKEN_S) / tokens
+        slowest_s, fastest_s = 4.0 / READ_TOKENS_PER_S, 0.25 / READ_TOKENS_PER_S
+        seen_s = min(slowest_s, max(fastest_s, seen_s))
+        self._token_s += RATE_GAIN * (seen_s - self._token_s)
 
 
 @dataclass(slots=True)
 class EngineLoad:
     """One engine as one router sees it."""
 
+    rate: ReadingRate = field(default_factory=ReadingRate)
+    recent: deque[tuple[Seconds, float]] = field(default_factory=deque)
     reading: dict[str, Reading] = field(default_factory=dict)
     running: set[str] = field(default_factory=set)
     parts: OrderedDict[str, Seconds] = field(default_factory=OrderedDict)
@@ -86,7 +113,7 @@
         """
         ahead, behind = 0.0, 0.0
         for item in self.reading.values():
-            read = max(0.0, now - item.sent_s - FIRST_TOKEN_S) * READ_TOKENS_PER_S
+            read = max(0.0, now - item.sent_s - FIRST_TOKEN_S) * self.rate.tokens_per_s
             left = max(0.0, item.tokens - read / max(1, len(self.reading)))
             if item.tier <= tier:
                 ahead += left
@@ -112,7 +139,19 @@
     def first_token_s(self, unread: float, tier: int, now: Seconds) -> Seconds:
         """Predict the time to first token at a pace of 1, in seconds."""
         tokens = unread + self.backlog_tokens(tier, now)
-        return FIRST_TOKEN_S + tokens / READ_TOKENS_PER_S + self.batch * SLOT_STEP_S
+        read_s = tokens / self.rate.tokens_per_s
+        return FIRST_TOKEN_S + read_s + self.batch * SLOT_STEP_S
+
+    def own_recent_tokens(self, now: Seconds) -> float:
+        """Return the prompt tokens that this router sent in the last window."""
+        while self.recent and self.recent[0][0] < now - DUTY_WINDOW_S:
+            self.recent.popleft()
+        return sum(tokens for _, tokens in self.recent)
+
+    def duty(self, now: Seconds) -> float:
+        """Return the part of the last window that all prompts take to read."""
+        tokens = self.own_recent_tokens(now) + self.peers.recent_tokens
+        return tokens / (self.rate.tokens_per_s * DUTY_WINDOW_S)
 
     def send(self, request: str, prompt: Prompt, tier: int, now: Seconds) -> None:
         """Note that a request was sent."""
@@ -120,6 +159,7 @@
         expected_s = self.first_token_s(unread, tier, now)
         self.reading[request] = Reading(unread, tier, now, expected_s)
         self.running.add(request)
+        self.recent.append((now, unread))
         for part in prompt.shared:
             self.parts[part.id] = now
             self.parts.move_to_end(part.id)
@@ -131,7 +171,11 @@
         item = self.reading.pop(request, None)
         if item is None:
             return
-        seen = (now - item.sent_s) / item.expected_s
+        took_s = now - item.sent_s
+        alone = not self.reading and not self.peers.reading_tokens
+        if alone and item.tokens >= CLEAN_TOKENS:
+            self.rate.observe(item.tokens, took_s)
+        seen = took_s / item.expected_s
         pace = self.current_pace(now)
         low, high = PACE_RANGE
         self.pace = min(high, max(low, pace + PACE_GAIN * (seen - pace)))
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -15,9 +15,9 @@
 
 from shallotpoint.coordination.overlay import rank, rendezvous_score
 from shallotpoint.policy.engine_load import (
-    READ_TOKENS_PER_S,
     EngineLoad,
     PeerLoad,
+    ReadingRate,
 )
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.policy.state import PoolState
@@ -34,6 +34,7 @@
 READ_UNNOTICED = 500  # tokens; a quarter of a chunk pauses no stream noticeably
 TIGHT_SLACK = 1.0  # a tight stream leaves its part if it gains its whole target
 OTHER_SLACK = 0.7  # other work may wait this part of its target in its own part
+MOST_DUTY = 0.75  # the rest of an engine's time is for the streams that run there
 NO_TARGET_S = 1.0  # used for work without a target
 FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
@@ -94,6 +95,7 @@
 
     def __init__(self) -> None:
         self.loads: dict[str, EngineLoad] = {}
+        self.rate = ReadingRate()
         self._book = _Book()
 
     def choose(
@@ -115,7 +117,9 @@
                 cost_s += FAR_S
             if best is None or (cost_s, name) < best:
                 best = (cost_s, name)
-        return best[1] if best else None
+        if best is None or (not tight and self._is_busy(best[1], now)):
+            return None
+        return best[1]
 
     def sent(self, course: Course, upstream: str, now: Seconds) -> None:
         """Note that a request was sent."""
@@ -142,13 +146,20 @@
 
     def load(self, upstream: str) -> EngineLoad:
         """Return the load of one engine."""
-        return self.loads.setdefault(upstream, EngineLoad())
+        return self.loads.setdefault(upstream, EngineLoad(self.rate))
 
     def hear(self, loads: dict[str, PeerLoad]) -> None:
         """Take over what peers have on the engines."""
         for name in {*self.loads, *loads}:
             self.load(name).peers = loads.get(name, PeerLoad())
 
+    def _is_busy(self, name: str, now: Seconds) -> bool:
+        """Return whether one more prompt would keep streams from going on.
+
+        An engine writes no faster than one token a chunk while it reads.
+        """
+        return self.load(name).duty(now) >= MOST_DUTY
+
     def _unread(self, name: str, prompt: Prompt, at_home: bool, now: Seconds) -> float:
         """Return the tokens that the engine would likely have to read."""
         unread = self.load(name).unread_tokens(prompt, now)
@@ -163,8 +174,9 @@
         load = self.load(name)
         own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
         own_s = load.first_token_s(unread, tier, now) * load.current_pace(now)
-        stalled_s = unread / READ_TOKENS_PER_S * load.batch * STALL_WEIGHT
-        reread_s = max(0.0, unread - own) / READ_TOKENS_PER_S * REREAD_WEIGHT
+        rate = self.rate.tokens_per_s
+        stalled_s = unread / rate * load.batch * STALL_WEIGHT
+        reread_s = max(0.0, unread - own) / rate * REREAD_WEIGHT
         failing_s = self._book[name].failing * FAILURE_WEIGHT_S
         return own_s + stalled_s + reread_s + failing_s
 
--- a/shallotpoint/policy/routes.py
+++ b/shallotpoint/policy/routes.py
@@ -181,13 +181,17 @@
         Rank of the organisation, which goes before the route's.
     """
     rank = route.tier if tier is None else tier
+    # A stream that has not begun within its target makes room for fresh ones.
+    max_wait_s = route.timeout_s
+    if route.kind is RouteKind.STREAM:
+        max_wait_s = min(max_wait_s, route.target_s)
     cls = ServiceClass(
         route.name,
         tier=rank + 1,
         ttft_s=route.target_s,
         tbt_s=route.pause_target_s,
         deadline_s=route.timeout_s,
-        max_wait_s=route.timeout_s,
+        max_wait_s=max_wait_s,
     )
     if rank == route.tier:
         return cls
