--- a/shallotpoint/policy/engine_load.py
+++ b/shallotpoint/policy/engine_load.py
@@ -19,6 +19,8 @@
 SLOT_STEP_S = 0.0006  # rise of the time between events for each request in the batch
 PARTS_KEPT = 2_000  # shared parts remembered for each engine
 PART_KEPT_S = 60.0  # an unused part is likely evicted after this long
+GAP_GAIN = 0.1  # weight of the newest event in the usual time between events
+GAP_FRESH_S = 1.0  # a gap that was seen longer ago says nothing of the present
 DUTY_WINDOW_S = 1.0  # over which an engine's reading is counted
 CLEAN_TOKENS = 3_000  # prompts that are long enough to measure the reading rate
 RATE_GAIN = 0.1  # weight of the newest prompt in the measured rate
@@ -95,6 +97,19 @@
     pace: float = 1.0
     paced_s: Seconds = 0.0
     peers: PeerLoad = PeerLoad()
+    gap_s: Seconds = 0.0
+    gap_seen_s: Seconds = 0.0
+
+    def see_gap(self, gap_s: Seconds, now: Seconds) -> None:
+        """Take in the time between two events of a stream."""
+        if now - self.gap_seen_s > GAP_FRESH_S:
+            self.gap_s = gap_s
+        self.gap_s += GAP_GAIN * (gap_s - self.gap_s)
+        self.gap_seen_s = now
+
+    def current_gap_s(self, now: Seconds) -> Seconds:
+        """Return the usual time between events, 0 if none was seen lately."""
+        return self.gap_s if now - self.gap_seen_s <= GAP_FRESH_S else 0.0
 
     def unread_tokens(self, prompt: Prompt, now: Seconds) -> float:
         """Return the tokens that the engine would have to read."""
--- a/shallotpoint/policy/placement.py
+++ b/shallotpoint/policy/placement.py
@@ -29,6 +29,9 @@
     def answered(self, course: Course, upstream: str, now: Seconds) -> None:
         """Note the first part of an answer."""
 
+    def progressed(self, upstream: str, gap_s: Seconds, now: Seconds) -> None:
+        """Note the time between two parts of an answer."""
+
     def failed(
         self, course: Course, upstream: str, reason: Result, now: Seconds
     ) -> None:
@@ -60,6 +63,9 @@
     def answered(self, course: Course, upstream: str, now: Seconds) -> None:
         """Nothing to note; the health book measures answers."""
 
+    def progressed(self, upstream: str, gap_s: Seconds, now: Seconds) -> None:
+        """Nothing to note; the health book measures answers."""
+
     def failed(
         self, course: Course, upstream: str, reason: Result, now: Seconds
     ) -> None:
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -17,7 +17,6 @@
 from shallotpoint.policy.engine_load import (
     EngineLoad,
     PeerLoad,
-    ReadingRate,
 )
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.policy.state import PoolState
@@ -34,7 +33,8 @@
 READ_UNNOTICED = 500  # tokens; a quarter of a chunk pauses no stream noticeably
 TIGHT_SLACK = 1.0  # a tight stream leaves its part if it gains its whole target
 OTHER_SLACK = 0.7  # other work may wait this part of its target in its own part
-MOST_DUTY = 0.75  # the rest of an engine's time is for the streams that run there
+MOST_GAP_S = 0.1  # 100 events, a long answer, then take two thirds of 15 s
+MOST_DUTY = 0.9  # the rest of an engine's time is for the streams that run there
 NO_TARGET_S = 1.0  # used for work without a target
 FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
@@ -95,7 +95,6 @@
 
     def __init__(self) -> None:
         self.loads: dict[str, EngineLoad] = {}
-        self.rate = ReadingRate()
         self._book = _Book()
 
     def choose(
@@ -132,6 +131,10 @@
         self.load(upstream).answer(course.ticket.id, now)
         self._book.succeed(upstream)
 
+    def progressed(self, upstream: str, gap_s: Seconds, now: Seconds) -> None:
+        """Note the time between two events of a stream."""
+        self.load(upstream).see_gap(gap_s, now)
+
     def failed(
         self, course: Course, upstream: str, reason: Result, now: Seconds
     ) -> None:
@@ -146,7 +149,7 @@
 
     def load(self, upstream: str) -> EngineLoad:
         """Return the load of one engine."""
-        return self.loads.setdefault(upstream, EngineLoad(self.rate))
+        return self.loads.setdefault(upstream, EngineLoad())
 
     def hear(self, loads: dict[str, PeerLoad]) -> None:
         """Take over what peers have on the engines."""
@@ -158,7 +161,8 @@
 
         An engine writes no faster than one token a chunk while it reads.
         """
-        return self.load(name).duty(now) >= MOST_DUTY
+        load = self.load(name)
+        return load.current_gap_s(now) > MOST_GAP_S or load.duty(now) >= MOST_DUTY
 
     def _unread(self, name: str, prompt: Prompt, at_home: bool, now: Seconds) -> float:
         """Return the tokens that the engine would likely have to read."""
@@ -174,7 +178,7 @@
         load = self.load(name)
         own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
         own_s = load.first_token_s(unread, tier, now) * load.current_pace(now)
-        rate = self.rate.tokens_per_s
+        rate = load.rate.tokens_per_s
         stalled_s = unread / rate * load.batch * STALL_WEIGHT
         reread_s = max(0.0, unread - own) / rate * REREAD_WEIGHT
         failing_s = self._book[name].failing * FAILURE_WEIGHT_S
@@ -269,6 +273,9 @@
             record.answer_s += FAILURE_GAIN * (seen_s - record.answer_s)
         self._book.succeed(upstream)
 
+    def progressed(self, upstream: str, gap_s: Seconds, now: Seconds) -> None:
+        """Nothing to note; answers are taken as wholes."""
+
     def failed(
         self, course: Course, upstream: str, reason: Result, now: Seconds
     ) -> None:
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -209,7 +209,10 @@
             self.placement.answered(course, upstream, now)
             actions = self._drop_other_legs(course, leg, now)
         elif leg.last_s is not None and tokens:
-            self.health.progressed(upstream, (now - leg.last_s) / tokens)
+            gap_s = (now - leg.last_s) / tokens
+            self.health.progressed(upstream, gap_s)
+            if not leg.held_back:
+                self.placement.progressed(upstream, gap_s, now)
         leg.last_s = now
         leg.tokens += tokens
         course.tokens += tokens
