--- a/shallotpoint/controllers/load_sharing.py
+++ b/shallotpoint/controllers/load_sharing.py
@@ -39,7 +39,6 @@
     upstream: str
     running: int
     reading_tokens: int
-    recent_tokens: int
 
 
 _decoder = msgspec.msgpack.Decoder(list[WireLoad])
@@ -92,34 +91,29 @@
                     self._pools.poison.crashed(report)
 
     def _publish(self, now: Seconds) -> None:
-        payload = msgspec.msgpack.encode(self._own_loads(now))
+        payload = msgspec.msgpack.encode(self._own_loads())
         if payload != self._published or now - self._published_s >= REPEAT_S:
             self._published = payload
             self._published_s = now
             self._gossip.publish(LOAD_TOPIC, payload, now=now)
 
-    def _own_loads(self, now: Seconds) -> list[WireLoad]:
+    def _own_loads(self) -> list[WireLoad]:
         loads = []
         for runner in self._pools.runners():
             placement = runner.scheduler.placement
             for name, slots in runner.scheduler.upstreams.items():
-                reading = recent = 0
+                reading = 0
                 if isinstance(placement, EnginePlacement):
-                    load = placement.load(name)
-                    reading = load.own_reading_tokens()
-                    recent = int(load.own_recent_tokens(now))
-                if slots.running or reading or recent:
+                    reading = placement.load(name).own_reading_tokens()
+                if slots.running or reading:
                     running = len(slots.running)
-                    loads.append(
-                        WireLoad(runner.pool.name, name, running, reading, recent)
-                    )
+                    loads.append(WireLoad(runner.pool.name, name, running, reading))
         return loads
 
     def _take_over(self, now: Seconds) -> None:
         known = self._board.get(HostsSection).routers()
         running: dict[str, int] = defaultdict(int)
         reading: dict[str, int] = defaultdict(int)
-        recent: dict[str, int] = defaultdict(int)
         for origin, (heard_s, loads) in list(self._heard.items()):
             if now - heard_s > STALE_S or origin not in known:
                 del self._heard[origin]
@@ -128,7 +122,6 @@
                 key = credit_key(load.pool, load.upstream)
                 running[key] += load.running
                 reading[key] += load.reading_tokens
-                recent[key] += load.recent_tokens
         self._write(CreditsSection(elsewhere=dict(running)))
         for runner in self._pools.runners():
             placement = runner.scheduler.placement
@@ -139,7 +132,7 @@
                 }
                 placement.hear(
                     {
-                        name: PeerLoad(reading[key], running[key], recent[key])
+                        name: PeerLoad(reading[key], running[key])
                         for name, key in keys.items()
                     }
                 )
--- a/shallotpoint/policy/engine_load.py
+++ b/shallotpoint/policy/engine_load.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from shallotpoint.policy.prompts import Prompt
@@ -21,7 +21,6 @@
 PART_KEPT_S = 60.0  # an unused part is likely evicted after this long
 GAP_GAIN = 0.1  # weight of the newest event in the usual time between events
 GAP_FRESH_S = 1.0  # a gap that was seen longer ago says nothing of the present
-DUTY_WINDOW_S = 1.0  # over which an engine's reading is counted
 CLEAN_TOKENS = 3_000  # prompts that are long enough to measure the reading rate
 RATE_GAIN = 0.1  # weight of the newest prompt in the measured rate
 PACE_GAIN = 0.15  # weight of the newest answer in the pace
@@ -57,13 +56,10 @@
         Prompt tokens that are still to be read.
     running : int
         Requests sent and not ended.
-    recent_tokens : int
-        Prompt tokens sent within the last :data:`DUTY_WINDOW_S`.
     """
 
     reading_tokens: int = 0
     running: int = 0
-    recent_tokens: int = 0
 
 
 class ReadingRate:
@@ -90,7 +86,6 @@
     """One engine as one router sees it."""
 
     rate: ReadingRate = field(default_factory=ReadingRate)
-    recent: deque[tuple[Seconds, float]] = field(default_factory=deque)
     reading: dict[str, Reading] = field(default_factory=dict)
     running: set[str] = field(default_factory=set)
     parts: OrderedDict[str, Seconds] = field(default_factory=OrderedDict)
@@ -157,24 +152,12 @@
         read_s = tokens / self.rate.tokens_per_s
         return FIRST_TOKEN_S + read_s + self.batch * SLOT_STEP_S
 
-    def own_recent_tokens(self, now: Seconds) -> float:
-        """Return the prompt tokens that this router sent in the last window."""
-        while self.recent and self.recent[0][0] < now - DUTY_WINDOW_S:
-            self.recent.popleft()
-        return sum(tokens for _, tokens in self.recent)
-
-    def duty(self, now: Seconds) -> float:
-        """Return the part of the last window that all prompts take to read."""
-        tokens = self.own_recent_tokens(now) + self.peers.recent_tokens
-        return tokens / (self.rate.tokens_per_s * DUTY_WINDOW_S)
-
     def send(self, request: str, prompt: Prompt, tier: int, now: Seconds) -> None:
         """Note that a request was sent."""
         unread = self.unread_tokens(prompt, now)
         expected_s = self.first_token_s(unread, tier, now)
         self.reading[request] = Reading(unread, tier, now, expected_s)
         self.running.add(request)
-        self.recent.append((now, unread))
         for part in prompt.shared:
             self.parts[part.id] = now
             self.parts.move_to_end(part.id)
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -33,8 +33,7 @@
 READ_UNNOTICED = 500  # tokens; a quarter of a chunk pauses no stream noticeably
 TIGHT_SLACK = 1.0  # a tight stream leaves its part if it gains its whole target
 OTHER_SLACK = 0.7  # other work may wait this part of its target in its own part
-MOST_GAP_S = 0.1  # 100 events, a long answer, then take two thirds of 15 s
-MOST_DUTY = 0.9  # the rest of an engine's time is for the streams that run there
+MOST_GAP_S = 0.15  # 64 events, a usual answer, then take 10 of 15 s
 NO_TARGET_S = 1.0  # used for work without a target
 FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
@@ -161,8 +160,7 @@
 
         An engine writes no faster than one token a chunk while it reads.
         """
-        load = self.load(name)
-        return load.current_gap_s(now) > MOST_GAP_S or load.duty(now) >= MOST_DUTY
+        return self.load(name).current_gap_s(now) > MOST_GAP_S
 
     def _unread(self, name: str, prompt: Prompt, at_home: bool, now: Seconds) -> float:
         """Return the tokens that the engine would likely have to read."""
