--- a/shallotpoint/callers/routes.py
+++ b/shallotpoint/callers/routes.py
@@ -83,7 +83,14 @@
         try:
             await self._serve(exchange)
         except RequestError as exc:
-            end_request(self.services, None, exchange.request_id, exc.result)
+            age_s = self.keys.age_s(self.keys.clock())
+            facts = {
+                "version": self.board.get(ConfigSection).config.version,
+                "view_age_s": None if age_s is None else round(age_s, 3),
+            }
+            end_request(
+                self.services, None, exchange.request_id, exc.result, facts=facts
+            )
             await fail_on_route(exchange, exc, self.edges.dialect)
         except CallerGone:
             return
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -143,6 +143,19 @@
             self._note_retry(Result.RETRY_HEDGE, upstream)
         self.attempts += 1
         self.log.note(time.time(), "hedge" if hedge else "send", upstream)
+        slots = self.pool.scheduler.upstreams[upstream]
+        _log.info(
+            "request sent",
+            extra={
+                "request": self.ticket.id,
+                "pool": self.pool.pool.name,
+                "upstream": upstream,
+                "attempt": self.attempts,
+                "waited_s": round(time.monotonic() - self._queued_s, 4),
+                "running": len(slots.running),
+                "elsewhere": slots.elsewhere,
+            },
+        )
         address = self.services.pools.address_of(upstream)
         task = asyncio.create_task(self._leg_task(upstream, address))
         self._legs[upstream] = task
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -265,6 +265,7 @@
         )
         balancer = BalancerApp(self.ready, services)
         await self._serve(stack, balancer, self.settings.listen.balancer)
+        await self._serve(stack, balancer, self.settings.listen.metrics)
         await self._serve(stack, app, self.settings.listen.callers)
 
     async def _serve(self, stack, app, address: str) -> None:
--- a/shallotpoint/settings.py
+++ b/shallotpoint/settings.py
@@ -191,11 +191,14 @@
     Attributes
     ----------
     balancer : str
-        Where the balancer asks whether the router is ready; metrics too.
+        Where the balancer asks whether the router is ready.
+    metrics : str
+        Where metrics are read; the same pages are on both.
     """
 
     callers: str = _setting(_address)
     balancer: str = _setting(_address)
+    metrics: str = _setting(_address)
     peers: str = _setting(_address)
 
 
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -47,7 +47,7 @@
 def settings(name, grace_ms=2_500):
     return RouteSettings(
         RouterSettings(name, "here"),
-        RouteListenSettings(free_address(), free_address(), free_address()),
+        RouteListenSettings(*(free_address() for _ in range(4))),
         StoreSettings("127.0.0.1:9"),
         BoundSettings(grace_ms=grace_ms),
     )
