--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -21,7 +21,6 @@
     Send,
     Withdraw,
 )
-from shallotpoint.policy.health import HealthBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.placement import ByExpectedWait, Placement
 from shallotpoint.policy.poison import CrashReport, CrashSuspicions, PoisonBook
@@ -31,6 +30,7 @@
 from shallotpoint.policy.ticket import Course, Leg, Ticket
 from shallotpoint.policy.tuning import Tuning
 from shallotpoint.policy.verdicts import verdict_on_retry
+from shallotpoint.policy.view import PoolView
 from shallotpoint.results import Result
 from shallotpoint.types import Seconds
 
@@ -40,7 +40,7 @@
 SUSPECT_CLEAR_S = 5.0  # a suspect that streams this long is cleared
 
 
-class Scheduler:
+class Scheduler(PoolView):
     """Queues, admission, dispatch, retries and preemption for one pool.
 
     Parameters
@@ -73,7 +73,7 @@
         placement: Placement | None = None,
         budget: WindowBudget | None = None,
     ):
-        self._state = PoolState(tuning or Tuning(), poison or PoisonBook())
+        super().__init__(PoolState(tuning or Tuning(), poison or PoisonBook()))
         self._state.shared_budget = budget
         self.placement: Placement = placement or ByExpectedWait()
         self.crash_reports: list[CrashReport] = []
@@ -115,66 +115,6 @@
         self._credits_changed |= credits < slots.credits
         slots.credits = credits
 
-    # Queries
-
-    @property
-    def health(self) -> HealthBook:
-        """Verdicts on the upstreams."""
-        return self._state.health
-
-    @property
-    def courses(self) -> dict[str, Course]:
-        """All requests that wait or run, by id."""
-        return self._state.courses
-
-    @property
-    def upstreams(self) -> dict[str, Slots]:
-        """Slots by upstream."""
-        return self._state.upstreams
-
-    @property
-    def total_slots(self) -> int:
-        """Slots that this router may fill on upstreams that take work."""
-        return self._state.total_slots
-
-    @property
-    def waiting_count(self) -> int:
-        """Requests that wait, over all classes."""
-        return self._state.waiting_count
-
-    def class_names(self) -> list[str]:
-        """Return the names of all classes that are known here."""
-        return list(self._state.classes)
-
-    def queue_length(self, class_name: str) -> int:
-        """Return how many requests of a class wait."""
-        queue = self._state.queues.get(class_name)
-        return len(queue) if queue else 0
-
-    def running_count(self, class_name: str) -> int:
-        """Return how many slots a class holds."""
-        return self._state.running[class_name]
-
-    def slots_wanted(self, now: Seconds) -> float:
-        """Return the slots that this router could use now, for lending."""
-        running = sum(len(s.running) for s in self.upstreams.values())
-        recent = sum(d.slots_wanted(now) for d in self._state.demand.values())
-        return max(running + self.waiting_count, recent)
-
-    def urgent_waiting(self, now: Seconds) -> int:
-        """Return the waiting requests that would preempt if they could."""
-        return rescue.urgent_waiting(self._state, now)
-
-    def firm_running(self, upstream: str) -> int:
-        """Return the requests on an upstream that cannot give way."""
-        return rescue.firm_running(self._state, upstream)
-
-    def estimate_wait_s(
-        self, cls: ServiceClass, organisation: str, now: Seconds
-    ) -> Seconds:
-        """Return the estimated wait of a new request, in seconds."""
-        return admission.estimate_wait_s(self._state, cls, organisation, now)
-
     # Events
 
     def offer(self, ticket: Ticket, now: Seconds) -> Admission:
