--- a/shallotpoint/policy/engine_load.py
+++ b/shallotpoint/policy/engine_load.py
@@ -63,7 +63,7 @@
 
 
 class ReadingRate:
-    """How fast the engines of a pool read prompts, from prompts read alone."""
+    """How fast one engine reads prompts, from prompts that it read alone."""
 
     def __init__(self) -> None:
         self._token_s: Seconds = 1.0 / READ_TOKENS_PER_S
--- a/shallotpoint/policy/prompts.py
+++ b/shallotpoint/policy/prompts.py
@@ -36,6 +36,11 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def own_tokens(self) -> int:
+        """Tokens that no other request shares; all where no parts are named."""
+        return self.parts[-1].tokens if self.parts else self.tokens_in
+
     @property
     def family(self) -> str:
         """Id of the longest shared start, or an empty string."""
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -105,7 +105,7 @@
         tier = course.ticket.service_class.tier
         quiet = quiet_part(state)
         tight = _is_tight(state, course)
-        home = _home(prompt, state, quiet if tight else None)
+        home = _home(prompt, state, quiet, tight)
         best: tuple[float, str] | None = None
         for name in self._book.candidates(course, free, now):
             unread = self._unread(name, prompt, name == home, now)
@@ -167,18 +167,16 @@
         unread = self.load(name).unread_tokens(prompt, now)
         if not at_home:
             return unread
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
-        return unread - HOME_SHARE * max(0.0, unread - own)
+        return unread - HOME_SHARE * max(0.0, unread - prompt.own_tokens)
 
     def _cost_s(
         self, name: str, prompt: Prompt, unread: float, tier: int, now: Seconds
     ) -> Seconds:
         load = self.load(name)
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens_in
         own_s = load.first_token_s(unread, tier, now) * load.current_pace(now)
         rate = load.rate.tokens_per_s
         stalled_s = unread / rate * load.batch * STALL_WEIGHT
-        reread_s = max(0.0, unread - own) / rate * REREAD_WEIGHT
+        reread_s = max(0.0, unread - prompt.own_tokens) / rate * REREAD_WEIGHT
         failing_s = self._book[name].failing * FAILURE_WEIGHT_S
         return own_s + stalled_s + reread_s + failing_s
 
@@ -223,11 +221,10 @@
     return pause_s <= min(known, default=pause_s) * TIGHT_RATIO
 
 
-def _home(prompt: Prompt, state: PoolState, part: frozenset[str] | None) -> str:
+def _home(prompt: Prompt, state: PoolState, quiet: frozenset[str], tight: bool) -> str:
     """Return the engine that all routers try first for a shared start."""
     names = _open(state)
-    quiet = quiet_part(state)
-    usable = [n for n in names if (n in quiet) == (part is not None)] or names
+    usable = [n for n in names if (n in quiet) == tight] or names
     if not prompt.family or not usable:
         return ""
     return max(usable, key=lambda name: rendezvous_score(name, prompt.family))
