A burst of changes in the store takes few calls

Each router's watches answer at once for every single registration of the 63 others and of 70 upstreams. A follower now pauses 0.3 s (upstreams) or 2 s (routers) after a change; the configuration not at all. A withdrawal has to be in force in 2 to 3 s.

--- a/shallotpoint/controllers/directory.py
+++ b/shallotpoint/controllers/directory.py
@@ -30,6 +30,8 @@
 
 UPSTREAM_POLL_S = 4.0  # longest wait of one call; changes are told at once
 ROUTER_POLL_S = 10.0  # peers change rarely, and only load figures depend on them
+UPSTREAM_SETTLE_S = 0.3  # a tenth of the time in which a withdrawal must be in force
+ROUTER_SETTLE_S = 2.0  # a start of all routers is learned in a few calls
 RETURN_GRACE_S = 2.0  # upstreams that live are listed again within this time
 LEASE_S = 6.0  # a router that is gone is known as such after this time
 RENEW_S = 2.0  # three chances to renew before the lease ends
@@ -89,6 +91,7 @@
             rng=rng,
             on_change=self._take_upstreams,
             wait_s=UPSTREAM_POLL_S,
+            settle_s=UPSTREAM_SETTLE_S,
             grace_s=RETURN_GRACE_S,
         )
         self.routers = PrefixFollower(
@@ -98,6 +101,7 @@
             rng=rng,
             on_change=self._take_routers,
             wait_s=ROUTER_POLL_S,
+            settle_s=ROUTER_SETTLE_S,
         )
 
     async def run(self) -> None:
--- a/shallotpoint/coordination/follow.py
+++ b/shallotpoint/coordination/follow.py
@@ -134,6 +134,8 @@
         Longest time that one poll waits at the service, in seconds.
     clock : Callable
         Time in seconds that goes on while the host is suspended.
+    settle_s : float
+        Pause after a change, so that a burst of changes takes few calls.
     on_change : Callable
         Called with the copy after each change.
     """
@@ -147,6 +149,7 @@
         rng: random.Random,
         on_change: Callable[[Mapping[str, Entry]], None],
         wait_s: Seconds,
+        settle_s: Seconds = 0.0,
         grace_s: Seconds = 0.0,
     ):
         self.copy = FollowedCopy(grace_s)
@@ -156,6 +159,7 @@
         self._rng = rng
         self._on_change = on_change
         self._wait_s = wait_s
+        self._settle_s = settle_s
         self._reachable: bool | None = None
 
     def age_s(self, now: Seconds) -> Seconds | None:
@@ -171,9 +175,11 @@
                 if not listed:
                     await self._list()
                     listed = True
-                await self._poll()
+                changed = await self._poll()
                 self._note_reachable(True)
                 pause_s = RETRY_S
+                if changed:
+                    await asyncio.sleep(self._settle_s)
                 continue
             except HistoryLost as exc:
                 _log.info(
@@ -197,7 +203,8 @@
         self.copy.replace_all(listing.entries, listing.revision, now)
         self._on_change(self.copy.entries)
 
-    async def _poll(self) -> None:
+    async def _poll(self) -> bool:
+        """Ask for changes once; return whether the service told any."""
         started_s = self._clock()
         wait_s = min(self._wait_s, 0.2) if self.copy.doubtful else self._wait_s
         poll = await self._kv.poll(self.prefix, self.copy.revision, wait_s)
@@ -210,6 +217,7 @@
         dropped = self.copy.expire(now)
         if poll.changes or dropped:
             self._on_change(self.copy.entries)
+        return bool(poll.changes)
 
     def _expire(self) -> None:
         if self.copy.expire(self._clock()):
--- a/shallotpoint/tests/test_follow.py
+++ b/shallotpoint/tests/test_follow.py
@@ -76,10 +76,20 @@
         self.assertEqual(1.0, made.age_s(2.0))
 
 
+class CountingKeyValue(MemoryKeyValue):
+    """Counts the polls."""
+
+    polls = 0
+
+    async def poll(self, prefix, after, wait_s):
+        self.polls += 1
+        return await super().poll(prefix, after, wait_s)
+
+
 class FollowerTests(TestCase):
-    def follow(self, scenario, *, wait_s=0.2):
+    def follow(self, scenario, *, wait_s=0.2, settle_s=0.0):
         async def main():
-            kv = MemoryKeyValue(clock=time.monotonic, rng=random.Random(1))
+            kv = CountingKeyValue(clock=time.monotonic, rng=random.Random(1))
             seen = []
             follower = PrefixFollower(
                 kv,
@@ -90,6 +100,7 @@
                     {key: entry.value for key, entry in entries.items()}
                 ),
                 wait_s=wait_s,
+                settle_s=settle_s,
             )
             task = asyncio.create_task(follower.run())
             try:
@@ -108,6 +119,18 @@
 
         self.follow(scenario)
 
+    def test_a_burst_of_changes_takes_few_calls(self):
+        async def scenario(kv, follower, seen):
+            await eventually(lambda: follower.copy.confirmed_s is not None)
+            for number in range(64):
+                await kv.txn([], [Put(f"p/{number}", b"1")])
+                await asyncio.sleep(0.01)
+            await eventually(lambda: seen and len(seen[-1]) == 64)
+            return kv.polls
+
+        calls = self.follow(scenario, wait_s=5.0, settle_s=0.3)
+        self.assertTrue(calls <= 6, calls)
+
     def test_lost_history_is_listed_again(self):
         async def scenario(kv, follower, seen):
             await kv.txn([], [Put("p/a", b"1")])
