Routers pass their copies of the store on to one another

Cause: each router asks the store itself. Now some readers of each data centre (one for 16 routers, all in groups up to 9) ask the store, the others ask them over pynng, and each answer carries the age of the store's word. Sources are tried in order: readers, the store, other peers. A reader that lost the store does not answer, so that a follower sees an outage of the store itself and keeps the grace for lapsed entries. Ruled out: spreading the configuration by gossip rows, whose age would have to be counted at every hop, and one watch on all keys, which answers to every registration.

Tests fail first: the router that the store turns away (without the peers' copies it does not take version 4), a burst of changes.

--- a/shallotpoint/controllers/directory.py
+++ b/shallotpoint/controllers/directory.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -22,8 +22,8 @@
     KeyValue,
     KeyValueError,
     OutcomeUnknown,
-    PolledKeyValue,
     Put,
+    Source,
 )
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.types import Clock, Seconds
@@ -56,6 +56,10 @@
 
     Parameters
     ----------
+    kv : Source
+        Where routers are listed; peers are known only from there.
+    sources : Callable
+        Where the list of upstreams comes from, the preferred source first.
     upstream_prefix, router_prefix : str
         Where upstreams and routers are listed.
     read_upstream : Callable
@@ -67,8 +71,9 @@
     def __init__(
         self,
         board: Blackboard,
-        kv: PolledKeyValue,
+        kv: Source,
         *,
+        sources: Callable[[], Sequence[Source]],
         upstream_prefix: str,
         router_prefix: str,
         read_upstream: Callable[[str, bytes], Host],
@@ -85,7 +90,7 @@
         self._upstream_prefix = upstream_prefix
         self._router_prefix = router_prefix
         self.upstreams = PrefixFollower(
-            kv,
+            sources,
             upstream_prefix,
             clock=clock,
             rng=rng,
@@ -95,7 +100,7 @@
             grace_s=RETURN_GRACE_S,
         )
         self.routers = PrefixFollower(
-            kv,
+            lambda: [kv],
             router_prefix,
             clock=clock,
             rng=rng,
--- a/shallotpoint/controllers/route_config.py
+++ b/shallotpoint/controllers/route_config.py
@@ -4,12 +4,12 @@
 
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from shallotpoint.blackboard import Blackboard
 from shallotpoint.controllers.sections import ConfigSection
 from shallotpoint.coordination.follow import PrefixFollower
-from shallotpoint.coordination.kv import Entry, PolledKeyValue
+from shallotpoint.coordination.kv import Entry, Source
 from shallotpoint.policy.configuration import Config, InvalidConfig
 from shallotpoint.types import Clock
 
@@ -23,6 +23,8 @@
 
     Parameters
     ----------
+    sources : Callable
+        Where the configuration comes from, the preferred source first.
     key : str
         Where the configuration is kept.
     read : Callable
@@ -32,7 +34,7 @@
     def __init__(
         self,
         board: Blackboard,
-        kv: PolledKeyValue,
+        sources: Callable[[], Sequence[Source]],
         *,
         key: str,
         read: Callable[[bytes], Config],
@@ -45,7 +47,7 @@
         self._write = board.claim(ConfigSection, "config")
         self._seen: bytes | None = None
         self.follower = PrefixFollower(
-            kv, key, clock=clock, rng=rng, on_change=self._take, wait_s=POLL_S
+            sources, key, clock=clock, rng=rng, on_change=self._take, wait_s=POLL_S
         )
 
     async def run(self) -> None:
--- /dev/null
+++ b/shallotpoint/coordination/copies.py
@@ -0,0 +1,224 @@
+"""Copies of key prefixes that routers pass on to one another.
+
+Not every router asks the key-value service itself: in a large group some readers of
+each data centre do, and the others ask them.  A router that the service turns away
+asks its peers.  Each answer says how old its proof is, so that the age of a copy
+counts from the service's word and not from the peer's.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+
+import msgspec
+
+from shallotpoint.coordination.follow import PrefixFollower
+from shallotpoint.coordination.kv import (
+    Change,
+    Entry,
+    HistoryLost,
+    Listing,
+    Poll,
+    Unavailable,
+)
+from shallotpoint.coordination.overlay import FULL_MESH_UP_TO, rank
+from shallotpoint.coordination.transport import TransportError
+from shallotpoint.types import Clock, Revision, Seconds
+
+WAIT_S = 1.0  # a reader that falls silent is left within half a withdrawal's bound
+TRAVEL_S = 0.4  # many times a message between data centres of one region
+OLDEST_S = 2.5  # a reader's copy is confirmed every 1.5 s, and once more at travel
+FOLLOWERS_OF_READER = 16  # a reader's answers then cost it under 1% of a core
+SPARES = 2  # peers asked by a router that the service turns away
+
+Ask = Callable[[bytes, Seconds], Awaitable[bytes]]
+
+
+class _Question(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the changes after a revision, or for all; -1 means all."""
+
+    prefix: str
+    after: int
+    wait_ms: int = 0
+
+
+class _Item(msgspec.Struct, frozen=True, array_like=True):
+    """A key with its value, None if it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class _Answer(msgspec.Struct, frozen=True, array_like=True):
+    """What a peer's copy holds.
+
+    Attributes
+    ----------
+    age_ms : int
+        Age of the copy's last proof when the answer left; negative if the copy
+        is not fit to be passed on.
+    complete : bool
+        False if changes that were asked for are no longer known.
+    """
+
+    age_ms: int
+    revision: int = 0
+    complete: bool = True
+    items: tuple[_Item, ...] = ()
+
+
+_ALL = -1
+_questions = msgspec.msgpack.Decoder(_Question)
+_answers = msgspec.msgpack.Decoder(_Answer)
+_encode = msgspec.msgpack.encode
+
+
+class PeerSource:
+    """A peer's copies as a :class:`~shallotpoint.coordination.kv.Source`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the peer.
+    ask : Callable
+        Sends a question and returns the reply within a time in seconds; raises
+        TransportError when there is none.
+    """
+
+    longest_wait_s = WAIT_S
+
+    def __init__(self, name: str, ask: Ask):
+        self.name = name
+        self._ask = ask
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Return all keys with a prefix."""
+        answer = await self._answer(_Question(prefix, _ALL), 0.0)
+        entries = [
+            Entry(item.key, item.value, item.revision)
+            for item in answer.items
+            if item.value is not None
+        ]
+        return Listing(tuple(entries), answer.revision, answer.age_ms / 1000)
+
+    async def poll(self, prefix: str, after: Revision, wait_s: Seconds) -> Poll:
+        """Return changes after a revision, waiting up to ``wait_s`` for one."""
+        question = _Question(prefix, after, int(wait_s * 1000))
+        answer = await self._answer(question, wait_s)
+        if not answer.complete:
+            raise HistoryLost(f"{self.name} does not know what followed {after}")
+        changes = tuple(_change(item) for item in answer.items)
+        return Poll(changes, answer.revision, answer.age_ms / 1000)
+
+    async def _answer(self, question: _Question, wait_s: Seconds) -> _Answer:
+        try:
+            raw = await self._ask(_encode(question), wait_s + TRAVEL_S)
+            answer = _answers.decode(raw)
+        except (TransportError, msgspec.DecodeError) as exc:
+            raise Unavailable(f"no copy from {self.name}: {exc}") from exc
+        if answer.age_ms < 0:
+            raise Unavailable(f"the copy of {self.name} is out of date")
+        return answer
+
+
+class CopyServer:
+    """Answers peers from this router's copies.
+
+    Parameters
+    ----------
+    followers : sequence of PrefixFollower
+        The copies.
+    clock : Callable
+        The clock of the followers.
+    """
+
+    def __init__(self, followers: Sequence[PrefixFollower], *, clock: Clock):
+        self._followers = {follower.prefix: follower for follower in followers}
+        self._clock = clock
+
+    async def answer(self, raw: bytes) -> bytes:
+        """Answer one question; TransportError if it cannot be read."""
+        try:
+            question = _questions.decode(raw)
+        except msgspec.DecodeError as exc:
+            raise TransportError(f"malformed question: {exc}") from exc
+        follower = self._followers.get(question.prefix)
+        if follower is None:
+            return _encode(_Answer(-1))
+        copy = follower.copy
+        if question.after != _ALL and not copy.changes_since(question.after):
+            wait_s = min(WAIT_S, max(0, question.wait_ms) / 1000)
+            await follower.wait_for_news(wait_s)
+        return _encode(self._answer_from(follower, question.after))
+
+    def _answer_from(self, follower: PrefixFollower, after: Revision) -> _Answer:
+        copy = follower.copy
+        age_s = follower.age_s(self._clock())
+        if age_s is None or age_s > OLDEST_S or copy.is_lost:
+            return _Answer(-1)
+        age_ms = math.ceil(age_s * 1000)
+        if after == _ALL:
+            items = [_Item(e.key, e.value, e.revision) for e in copy.entries.values()]
+            return _Answer(age_ms, copy.revision, True, tuple(items))
+        changes = copy.changes_since(after)
+        if changes is None:
+            return _Answer(age_ms, copy.revision, complete=False)
+        return _Answer(
+            age_ms, copy.revision, True, tuple(_item(change) for change in changes)
+        )
+
+
+def readers(routers: Mapping[str, str], data_centre: str) -> list[str]:
+    """Return the routers of a data centre that ask the service themselves.
+
+    Parameters
+    ----------
+    routers : mapping
+        Data centre of each router by its name.
+
+    Examples
+    --------
+    >>> readers({f"r{n}": "east" for n in range(9)}, "east") == [
+    ...     f"r{n}" for n in range(9)
+    ... ]
+    True
+    >>> len(readers({f"r{n}": "east" for n in range(40)}, "east"))
+    3
+    """
+    near = [name for name, place in routers.items() if place == data_centre]
+    if len(routers) <= FULL_MESH_UP_TO:
+        return near
+    return rank(near, "reader")[: math.ceil(len(near) / FOLLOWERS_OF_READER)]
+
+
+def peers_to_ask(
+    me: str, routers: Mapping[str, str], data_centre: str
+) -> tuple[list[str], list[str]]:
+    """Return the peers to ask before the service, and those after it.
+
+    Parameters
+    ----------
+    routers : mapping
+        Data centre of each router by its name, this one included.
+    """
+    others = [name for name in rank(routers, me) if name != me]
+    chosen = readers(routers, data_centre)
+    if me in chosen or me not in routers:
+        return [], others[:SPARES]
+    before = [name for name in others if name in chosen][:SPARES]
+    after = [name for name in others if name not in before][:SPARES]
+    return before, after
+
+
+def _item(change: Change) -> _Item:
+    value = None if change.entry is None else change.entry.value
+    return _Item(change.key, value, change.revision)
+
+
+def _change(item: _Item) -> Change:
+    entry = None
+    if item.value is not None:
+        entry = Entry(item.key, item.value, item.revision)
+    return Change(item.key, entry, item.revision)
--- a/shallotpoint/coordination/follow.py
+++ b/shallotpoint/coordination/follow.py
@@ -9,21 +9,26 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from shallotpoint.coordination.kv import (
     Change,
     Entry,
     HistoryLost,
     KeyValueError,
-    PolledKeyValue,
+    Source,
 )
 from shallotpoint.types import Clock, Revision, Seconds
 
 RETRY_S = 0.1  # first pause after a failed call
 LONGEST_RETRY_S = 0.8  # well below the age at which a view is no longer trusted
+RECENT_CHANGES = 512  # more than fall into the time that a peer is behind
+PREFER_AGAIN_S = 10.0  # a source that failed is tried again after this time
+TRIAL_WAIT_S = 0.2  # a source in doubt is asked for so long, lest it is silent
 GAP_S = 2.0  # calls that fail for this long are an outage, in which leases may end
 
 _log = logging.getLogger(__name__)
@@ -52,20 +57,20 @@
         self._failed_s: Seconds = 0.0
         self._returned_s: Seconds | None = None
         self._doubtful: dict[str, Seconds] = {}
+        self._recent: deque[Change] = deque()
+        self._known_from: Revision = 0
 
-    def hear(self, started_s: Seconds, proved_s: Seconds, now: Seconds) -> None:
-        """Note an answer of the service.
+    def hear(self, proved_s: Seconds, now: Seconds) -> None:
+        """Note an answer.
 
         Parameters
         ----------
-        started_s, proved_s : float
-            When the call was sent, and the time at which the service surely
-            knew nothing newer.
+        proved_s : float
+            When the service surely knew nothing newer than the answer.
         """
         if self._lost_s is not None and self._failed_s - self._lost_s >= GAP_S:
             self._returned_s = now
         self._lost_s = None
-        proved_s = max(started_s, proved_s)
         self.confirmed_s = max(self.confirmed_s or proved_s, proved_s)
 
     def lose(self, now: Seconds) -> None:
@@ -85,6 +90,8 @@
         for key in listed:
             self._doubtful.pop(key, None)
         self.revision = revision
+        self._recent.clear()
+        self._known_from = revision
 
     def apply(
         self, changes: Iterable[Change], revision: Revision, now: Seconds
@@ -96,8 +103,17 @@
             else:
                 self.entries[change.key] = change.entry
                 self._doubtful.pop(change.key, None)
+            self._recent.append(change)
+        while len(self._recent) > RECENT_CHANGES:
+            self._known_from = self._recent.popleft().revision
         self.revision = max(self.revision, revision)
 
+    def changes_since(self, revision: Revision) -> tuple[Change, ...] | None:
+        """Return the changes after a revision, None if some are forgotten."""
+        if revision < self._known_from:
+            return None
+        return tuple(c for c in self._recent if c.revision > revision)
+
     def expire(self, now: Seconds) -> bool:
         """Drop doubtful keys whose grace is over; return whether any was."""
         over = [key for key, until_s in self._doubtful.items() if until_s <= now]
@@ -110,6 +126,11 @@
         """Return the time since the copy was last proved current, in seconds."""
         return None if self.confirmed_s is None else now - self.confirmed_s
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the last call had no answer."""
+        return self._lost_s is not None
+
     @property
     def doubtful(self) -> bool:
         """Whether any key is kept only for its grace time."""
@@ -125,13 +146,39 @@
         self._doubtful.pop(key, None)
 
 
+class _SourceChoice:
+    """Which source is asked next: the preferred one, or one after those that failed."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._failed_s: Seconds = 0.0
+
+    def pick(self, sources: Sequence[Source], now: Seconds) -> tuple[Source, bool]:
+        """Return a source, and whether it failed before and is tried again."""
+        in_doubt = False
+        if self._failures and now - self._failed_s >= PREFER_AGAIN_S:
+            self._failures, in_doubt = 0, len(sources) > 1
+        return sources[self._failures % len(sources)], in_doubt
+
+    def fail(self, now: Seconds) -> None:
+        """Go on to the next source."""
+        self._failures += 1
+        self._failed_s = now
+
+    def all_failed(self, sources: Sequence[Source]) -> bool:
+        """Return whether each source failed since the last one that answered."""
+        return self._failures % len(sources) == 0
+
+
 class PrefixFollower:
-    """Keeps a :class:`FollowedCopy` up to date from a key-value service.
+    """Keeps a :class:`FollowedCopy` up to date.
 
     Parameters
     ----------
+    sources : Callable
+        Returns where the copy comes from, the preferred source first; never empty.
     wait_s : float
-        Longest time that one poll waits at the service, in seconds.
+        Longest time that one poll waits at a source, in seconds.
     clock : Callable
         Time in seconds that goes on while the host is suspended.
     settle_s : float
@@ -142,7 +189,7 @@
 
     def __init__(
         self,
-        kv: PolledKeyValue,
+        sources: Callable[[], Sequence[Source]],
         prefix: str,
         *,
         clock: Clock,
@@ -154,74 +201,104 @@
     ):
         self.copy = FollowedCopy(grace_s)
         self.prefix = prefix
-        self._kv = kv
+        self._sources = sources
         self._clock = clock
         self._rng = rng
         self._on_change = on_change
         self._wait_s = wait_s
         self._settle_s = settle_s
         self._reachable: bool | None = None
+        self._choice = _SourceChoice()
+        self._failing: set[str] = set()
+        self._news = asyncio.Event()
 
     def age_s(self, now: Seconds) -> Seconds | None:
         """Return the time since the copy was last proved current, in seconds."""
         return self.copy.age_s(now)
 
+    async def wait_for_news(self, timeout_s: Seconds) -> None:
+        """Return after the next change, or when the time is over."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._news.wait()
+
     async def run(self) -> None:
         """Follow the prefix, until cancelled."""
         pause_s = RETRY_S
         listed = False
         while True:
+            source, in_doubt = self._choice.pick(self._sources(), self._clock())
             try:
                 if not listed:
-                    await self._list()
+                    await self._list(source)
                     listed = True
-                changed = await self._poll()
-                self._note_reachable(True)
-                pause_s = RETRY_S
-                if changed:
-                    await asyncio.sleep(self._settle_s)
-                continue
+                changed = await self._poll(source, in_doubt)
             except HistoryLost as exc:
                 _log.info(
                     "history lost, listing again",
                     extra={"prefix": self.prefix, "reason": str(exc)},
                 )
                 listed = False
-                continue
             except KeyValueError as exc:
-                self.copy.lose(self._clock())
-                self._note_reachable(False, str(exc))
-            self._expire()
-            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
-            pause_s = min(LONGEST_RETRY_S, pause_s * 2)
+                self._note_failure(source, str(exc))
+                self._expire()
+                if self._choice.all_failed(self._sources()):
+                    self._note_reachable(False, str(exc))
+                    await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+                    pause_s = min(LONGEST_RETRY_S, pause_s * 2)
+            else:
+                self._note_reachable(True, f"answered by {source.name}")
+                self._failing.discard(source.name)
+                pause_s = RETRY_S
+                if changed:
+                    await asyncio.sleep(self._settle_s)
 
-    async def _list(self) -> None:
+    async def _list(self, source: Source) -> None:
         started_s = self._clock()
-        listing = await self._kv.list_prefix(self.prefix)
+        listing = await source.list_prefix(self.prefix)
         now = self._clock()
-        self.copy.hear(started_s, started_s, now)
+        self.copy.hear(started_s - listing.age_s, now)
         self.copy.replace_all(listing.entries, listing.revision, now)
-        self._on_change(self.copy.entries)
+        self._tell()
 
-    async def _poll(self) -> bool:
-        """Ask for changes once; return whether the service told any."""
+    async def _poll(self, source: Source, in_doubt: bool) -> bool:
+        """Ask for changes once; return whether there were any."""
         started_s = self._clock()
-        wait_s = min(self._wait_s, 0.2) if self.copy.doubtful else self._wait_s
-        poll = await self._kv.poll(self.prefix, self.copy.revision, wait_s)
+        wait_s = min(self._wait_s, source.longest_wait_s)
+        if in_doubt or self.copy.doubtful:
+            wait_s = min(wait_s, TRIAL_WAIT_S)
+        poll = await source.poll(self.prefix, self.copy.revision, wait_s)
         now = self._clock()
         # An empty answer is given when the wait is over, and not before.
         waited = not poll.changes and now - started_s >= wait_s
-        proved_s = started_s + wait_s if waited else started_s
-        self.copy.hear(started_s, proved_s, now)
+        answered_s = started_s + wait_s if waited else started_s
+        self.copy.hear(answered_s - poll.age_s, now)
         self.copy.apply(poll.changes, poll.revision, now)
         dropped = self.copy.expire(now)
         if poll.changes or dropped:
-            self._on_change(self.copy.entries)
+            self._tell()
         return bool(poll.changes)
 
     def _expire(self) -> None:
         if self.copy.expire(self._clock()):
-            self._on_change(self.copy.entries)
+            self._tell()
+
+    def _tell(self) -> None:
+        self._on_change(self.copy.entries)
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+    def _note_failure(self, source: Source, reason: str) -> None:
+        now = self._clock()
+        self.copy.lose(now)
+        self._choice.fail(now)
+        if source.name in self._failing:
+            return
+        self._failing.add(source.name)
+        _log.warning(
+            "source failed",
+            extra={"prefix": self.prefix, "source": source.name, "reason": reason},
+        )
 
     def _note_reachable(self, reachable: bool, reason: str = "") -> None:
         if reachable is self._reachable:
--- a/shallotpoint/coordination/kv.py
+++ b/shallotpoint/coordination/kv.py
@@ -85,10 +85,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All keys with a prefix at one revision."""
+    """All keys with a prefix at one revision.
+
+    Attributes
+    ----------
+    age_s : float
+        How long before the answer nothing newer was known to the service; 0 if
+        the service itself answered.
+    """
 
     entries: tuple[Entry, ...]
     revision: Revision
+    age_s: Seconds = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,10 +116,13 @@
     ----------
     revision : int
         Where the next poll begins.
+    age_s : float
+        As in :class:`Listing`.
     """
 
     changes: tuple[Change, ...]
     revision: Revision
+    age_s: Seconds = 0.0
 
 
 class KeyValue(Protocol):
@@ -147,8 +158,22 @@
         """Yield changes to keys with a prefix from a revision on."""
 
 
-class PolledKeyValue(KeyValue, Protocol):
-    """A key-value service whose changes are also asked for call by call."""
+class Source(Protocol):
+    """Where a copy of a key prefix comes from: the service, or a peer's copy.
+
+    Each method raises :class:`Unavailable`.
+    """
+
+    @property
+    def name(self) -> str:
+        """Return the name for logs."""
+
+    @property
+    def longest_wait_s(self) -> Seconds:
+        """Return the longest wait of a poll; a longer one is answered by then."""
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Return all keys with a prefix."""
 
     async def poll(self, prefix: str, after: Revision, wait_s: Seconds) -> Poll:
         """Return changes after a revision, waiting up to ``wait_s`` for one.
@@ -158,3 +183,7 @@
         HistoryLost
             The service no longer knows what changed after the revision.
         """
+
+
+class PolledKeyValue(KeyValue, Source, Protocol):
+    """A key-value service whose changes are also asked for call by call."""
--- a/shallotpoint/coordination/memory_kv.py
+++ b/shallotpoint/coordination/memory_kv.py
@@ -188,6 +188,8 @@
     store: Store = field(default_factory=Store)
     faults: KeyValueFaults = field(default_factory=KeyValueFaults)
     counts: CallCounts = field(default_factory=CallCounts)
+    name: str = "memory"
+    longest_wait_s: Seconds = 30.0
 
     async def get(self, key: str) -> Entry | None:
         """Return one key, or None."""
--- a/shallotpoint/coordination/peers.py
+++ b/shallotpoint/coordination/peers.py
@@ -209,6 +209,15 @@
         answers = await asyncio.gather(*asked)
         return {name: body for name, body in answers if body is not None}
 
+    async def ask_one(self, address: str, body: bytes, timeout_s: Seconds) -> bytes:
+        """Return one member's answer; TransportError when there is none in time."""
+        query = self._encode(Query(PROTOCOL_VERSION, self.board.name, body))
+        raw = await self._transport.request(address, query, timeout_s=timeout_s)
+        reply = self._decode(raw)
+        if not isinstance(reply, QueryReply):
+            raise TransportError("unexpected kind of message")
+        return reply.body
+
     async def handle(self, raw: bytes) -> bytes:
         """Answer one message of another member."""
         message = self._decode(raw)
--- a/shallotpoint/coordination/transport.py
+++ b/shallotpoint/coordination/transport.py
@@ -91,14 +91,22 @@
         return self._sealer.open(reply)
 
     @contextlib.asynccontextmanager
-    async def listening(self, address: str, handler: Handler) -> AsyncIterator[str]:
-        """Answer requests at ``host:port``; yield the address in use."""
+    async def listening(
+        self, address: str, handler: Handler, *, contexts: int = CONTEXTS
+    ) -> AsyncIterator[str]:
+        """Answer requests at ``host:port``; yield the address in use.
+
+        Parameters
+        ----------
+        contexts : int
+            Requests that are answered at once.
+        """
         with pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES) as socket:
             listener = socket.listen(f"tcp://{address}")
             bound = str(listener.local_address)
             tasks = [
                 asyncio.create_task(self._answer(socket.new_context(), handler))
-                for _ in range(CONTEXTS)
+                for _ in range(contexts)
             ]
             try:
                 yield bound.removeprefix("tcp://")
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -32,8 +32,9 @@
 from shallotpoint.controllers.route_config import RouteConfigController
 from shallotpoint.controllers.sections import ConfigSection, HostsSection, StopSection
 from shallotpoint.coordination.config import ConfigState
+from shallotpoint.coordination.copies import CopyServer, PeerSource, peers_to_ask
 from shallotpoint.coordination.gossip import Board, Row
-from shallotpoint.coordination.kv import KeyValueError, PolledKeyValue
+from shallotpoint.coordination.kv import KeyValueError, PolledKeyValue, Source
 from shallotpoint.coordination.overlay import neighbours
 from shallotpoint.coordination.peers import ConfigPort, Peers
 from shallotpoint.coordination.transport import NngTransport, Sealer
@@ -53,6 +54,7 @@
 from shallotpoint.upstreams.bound import BoundClient
 
 GOSSIP_S = 0.5  # peers' loads are about as old as half of this
+ANSWERS_AT_ONCE = 64  # two waiting questions of 16 followers, and gossip beside
 STOP_MARGIN_S = 0.9  # the stop ends this long before the platform would kill
 LEAVE_S = 3.2  # the balancer asks each second and leaves after two refusals
 STOP_POLL_S = 0.05
@@ -120,7 +122,7 @@
         self.poison = PoisonBook()
         self.config = RouteConfigController(
             self.board,
-            edges.kv,
+            self._sources,
             key=edges.config_key,
             read=edges.read_config,
             clock=boot_clock,
@@ -137,6 +139,7 @@
         self.directory = DirectoryController(
             self.board,
             edges.kv,
+            sources=self._sources,
             upstream_prefix=edges.upstream_prefix,
             router_prefix=edges.router_prefix,
             read_upstream=edges.read_upstream,
@@ -144,6 +147,9 @@
             rng=self._rng,
             on_restart=self._upstream_restarted,
         )
+        self.copies = CopyServer(
+            [self.config.follower, self.directory.upstreams], clock=boot_clock
+        )
         self.loads = LoadController(
             self.board,
             self.gossip,
@@ -285,12 +291,14 @@
             self.gossip,
             transport,
             config=ConfigPort(ConfigState, lambda sections: None),
-            answer=_no_answer,
+            answer=self.copies.answer,
             clock=self._clock,
             rng=self._rng,
             on_rows=self._take_rows,
         )
-        listening = transport.listening(self.settings.listen.peers, self.peers.handle)
+        listening = transport.listening(
+            self.settings.listen.peers, self.peers.handle, contexts=ANSWERS_AT_ONCE
+        )
         async with listening:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.registration.run())
@@ -310,6 +318,29 @@
                 _log.info("no secret for peers yet", extra={"reason": str(exc)})
                 await asyncio.sleep(SECRET_RETRY_S * self._rng.uniform(0.8, 1.2))
 
+    def _sources(self) -> Sequence[Source]:
+        """Return where copies of the store come from, the preferred one first."""
+        store: Source = self.edges.kv
+        if self.peers is None:
+            return [store]
+        routers = self.board.get(HostsSection).routers()
+        places = {name: host.data_centre for name, host in routers.items()}
+        before, after = peers_to_ask(
+            self.name, places, self.settings.router.data_centre
+        )
+        return [
+            *(self._source(routers[name]) for name in before),
+            store,
+            *(self._source(routers[name]) for name in after),
+        ]
+
+    def _source(self, router: Host) -> PeerSource:
+        async def ask(body: bytes, timeout_s: Seconds) -> bytes:
+            assert self.peers is not None
+            return await self.peers.ask_one(router.address, body, timeout_s)
+
+        return PeerSource(router.name, ask)
+
     def _neighbours(self, transport: NngTransport) -> dict[str, str]:
         routers = self.board.get(HostsSection).routers()
         transport.forget({h.address for h in routers.values()})
@@ -355,10 +386,6 @@
     )
 
 
-async def _no_answer(body: bytes) -> bytes:
-    return b""
-
-
 def _log_end(task: asyncio.Task) -> None:
     if not task.cancelled() and task.exception() is not None:
         _log.error("task %s died", task.get_name(), exc_info=task.exception())
--- /dev/null
+++ b/shallotpoint/tests/test_copies.py
@@ -0,0 +1,222 @@
+"""Copies passed on among routers: their age, their fallbacks, who asks whom."""
+
+import asyncio
+import random
+import time
+
+from testtools.matchers import GreaterThan, LessThan
+
+from shallotpoint.coordination.copies import (
+    OLDEST_S,
+    TRAVEL_S,
+    WAIT_S,
+    CopyServer,
+    PeerSource,
+    peers_to_ask,
+    readers,
+)
+from shallotpoint.coordination.follow import GAP_S, RECENT_CHANGES, PrefixFollower
+from shallotpoint.coordination.kv import Delete, HistoryLost, Put, Unavailable
+from shallotpoint.coordination.memory_kv import MemoryKeyValue
+from shallotpoint.coordination.transport import TransportError
+from shallotpoint.testing.cases import TestCase, eventually
+
+
+class Clock:
+    """A monotonic clock that can jump, as the service's proof ages with it."""
+
+    ahead_s = 0.0
+
+    def __call__(self):
+        return time.monotonic() + self.ahead_s
+
+
+class Group:
+    """A service, a reader of it, and a follower that asks the reader first."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.kv = MemoryKeyValue(clock=time.monotonic, rng=random.Random(1))
+        self.own_kv = MemoryKeyValue(
+            clock=time.monotonic, rng=random.Random(2), store=self.kv.store
+        )
+        self.silent = False
+        self.reader = self.follow([self.kv], wait_s=0.3)
+        self.server = CopyServer([self.reader], clock=self.clock)
+        self.source = PeerSource("reader", self.ask)
+        self.follower = self.follow([self.source, self.own_kv], wait_s=WAIT_S)
+
+    def follow(self, sources, *, wait_s):
+        return PrefixFollower(
+            lambda: sources,
+            "p/",
+            clock=self.clock,
+            rng=random.Random(3),
+            on_change=lambda entries: None,
+            wait_s=wait_s,
+            grace_s=1.0,
+        )
+
+    async def ask(self, body, timeout_s):
+        if self.silent:
+            await asyncio.sleep(timeout_s)
+            raise TransportError("silent")
+        return await self.server.answer(body)
+
+    def values(self):
+        return {key: e.value for key, e in self.follower.copy.entries.items()}
+
+
+class CopiesCase(TestCase):
+    def play(self, scenario):
+        async def main():
+            group = Group()
+            await group.kv.txn([], [Put("p/a", b"1")])
+            tasks = [asyncio.create_task(group.reader.run())]
+            try:
+                await eventually(lambda: group.reader.copy.entries)
+                tasks.append(asyncio.create_task(group.follower.run()))
+                await eventually(lambda: group.values() == {"p/a": b"1"})
+                return await scenario(group)
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+        return self.run_async(main())
+
+
+class PassingOnTests(CopiesCase):
+    def test_changes_pass_at_once_and_cost_no_call(self):
+        async def scenario(group):
+            started_s = time.monotonic()
+            await group.kv.txn([], [Put("p/b", b"2")])
+            await eventually(lambda: "p/b" in group.values())
+            await group.kv.txn([], [Delete("p/a")])
+            await eventually(lambda: group.values() == {"p/b": b"2"})
+            return time.monotonic() - started_s, group.own_kv.counts.watches
+
+        took_s, calls = self.play(scenario)
+        self.assertThat(took_s, LessThan(0.5))
+        self.assertEqual(0, calls)
+
+    def test_age_counts_from_the_word_of_the_service(self):
+        async def scenario(group):
+            group.kv.faults.down = group.own_kv.faults.down = True
+            await asyncio.sleep(0.6)
+            reader_s = group.reader.age_s(group.clock())
+            follower_s = group.follower.age_s(group.clock())
+            return reader_s, follower_s
+
+        reader_s, follower_s = self.play(scenario)
+        self.assertThat(follower_s, GreaterThan(reader_s - 0.05))
+
+    def test_peers_cannot_keep_one_another_fresh(self):
+        async def scenario(group):
+            group.kv.faults.down = group.own_kv.faults.down = True
+            await asyncio.sleep(0.4)
+            group.clock.ahead_s = OLDEST_S
+            try:
+                await group.source.poll("p/", group.reader.copy.revision, 0.0)
+            except Unavailable as exc:
+                return str(exc)
+
+        self.assertIn("out of date", self.play(scenario))
+
+    def test_forgotten_changes_are_listed_again(self):
+        async def scenario(group):
+            first = group.reader.copy.revision
+            for number in range(RECENT_CHANGES + 1):
+                group.kv.store.txn([], [Put("p/b", str(number).encode())])
+            last = str(RECENT_CHANGES).encode()
+            await eventually(lambda: group.values().get("p/b") == last)
+            try:
+                await group.source.poll("p/", first, 0.0)
+            except HistoryLost as exc:
+                return str(exc)
+
+        self.assertIn(
+            "reader does not know", self.play(scenario) or "the changes were known"
+        )
+
+    def test_unknown_prefix_and_garbage_are_refused(self):
+        async def scenario(group):
+            try:
+                await group.source.list_prefix("q/")
+            except Unavailable as exc:
+                refused = str(exc)
+            try:
+                await group.server.answer(b"\xc1")
+            except TransportError as exc:
+                return refused, str(exc)
+
+        refused, malformed = self.play(scenario)
+        self.assertIn("out of date", refused)
+        self.assertIn("malformed", malformed)
+
+
+class FallbackTests(CopiesCase):
+    def test_silent_reader_is_left_for_the_service(self):
+        async def scenario(group):
+            group.silent = True
+            started_s = time.monotonic()
+            await group.kv.txn([], [Put("p/b", b"2")])
+            # The question that waits at the reader may still bring this change.
+            await eventually(lambda: "p/b" in group.values())
+            await group.kv.txn([], [Put("p/c", b"3")])
+            await eventually(lambda: "p/c" in group.values())
+            return time.monotonic() - started_s
+
+        self.assertThat(self.play(scenario), LessThan(WAIT_S + TRAVEL_S + 0.3))
+
+    def test_reader_that_the_service_turns_away_is_left(self):
+        async def scenario(group):
+            group.kv.faults.down = True
+            await asyncio.sleep(0.5)
+            await group.own_kv.txn([], [Put("p/b", b"2")])
+            await eventually(lambda: "p/b" in group.values(), timeout_s=2.0)
+            return group.follower.age_s(group.clock())
+
+        self.assertThat(self.play(scenario), LessThan(WAIT_S + TRAVEL_S))
+
+    def test_key_that_lapses_in_an_outage_of_the_service_keeps_its_grace(self):
+        async def scenario(group):
+            group.kv.faults.down = group.own_kv.faults.down = True
+            await asyncio.sleep(GAP_S + 1.0)
+            group.kv.store.txn([], [Delete("p/a")])
+            group.kv.faults.down = group.own_kv.faults.down = False
+            await eventually(lambda: group.follower.age_s(group.clock()) < 1.0)
+            kept = "p/a" in group.values()
+            await eventually(lambda: "p/a" not in group.values(), timeout_s=4.0)
+            return kept
+
+        self.assertTrue(self.play(scenario))
+
+
+class WhoAsksTests(TestCase):
+    def routers(self, count):
+        return {f"r{n}": ("east", "west")[n % 2] for n in range(count)}
+
+    def test_small_group_asks_the_service_and_has_spares(self):
+        before, after = peers_to_ask("r1", self.routers(7), "west")
+        self.assertEqual(([], 2), (before, len(after)))
+
+    def test_large_group_asks_the_readers_of_its_data_centre(self):
+        routers = self.routers(64)
+        chosen = readers(routers, "east")
+        self.assertEqual(2, len(chosen))
+        for name in [n for n, place in routers.items() if place == "east"]:
+            before, after = peers_to_ask(name, routers, "east")
+            wanted = set() if name in chosen else set(chosen)
+            self.assertEqual(wanted, set(before))
+            self.assertFalse(set(before) & set(after))
+
+    def test_unlisted_router_asks_the_service(self):
+        before, _ = peers_to_ask("new", self.routers(64), "east")
+        self.assertEqual([], before)
+
+    def test_loss_of_a_reader_changes_few_choices(self):
+        routers = self.routers(64)
+        gone = readers(routers, "east")[0]
+        left = {n: place for n, place in routers.items() if n != gone}
+        kept = set(readers(routers, "east")) - {gone}
+        self.assertTrue(kept <= set(readers(left, "east")))
--- a/shallotpoint/tests/test_directory.py
+++ b/shallotpoint/tests/test_directory.py
@@ -47,6 +47,7 @@
             controller = DirectoryController(
                 board,
                 kv,
+                sources=lambda: [kv],
                 upstream_prefix="u/",
                 router_prefix="r/",
                 read_upstream=read_upstream,
--- a/shallotpoint/tests/test_follow.py
+++ b/shallotpoint/tests/test_follow.py
@@ -21,14 +21,14 @@
 class CopyTests(TestCase):
     def copy(self, grace_s=2.0):
         made = FollowedCopy(grace_s)
-        made.hear(0.0, 0.0, 0.0)
+        made.hear(0.0, 0.0)
         made.replace_all([entry("a"), entry("b")], 1, 0.0)
         return made
 
     def test_removal_in_normal_operation_applies_at_once(self):
         made = self.copy()
         # A quiet poll waits long; that is no outage.
-        made.hear(0.1, 4.1, 4.1)
+        made.hear(4.1, 4.1)
         made.apply([removal("a")], 2, 4.1)
         self.assertEqual({"b"}, set(made.entries))
 
@@ -36,7 +36,7 @@
         made = self.copy()
         made.lose(1.0)
         made.lose(1.0 + GAP_S)
-        made.hear(5.0, 5.0, 5.0)
+        made.hear(5.0, 5.0)
         made.apply([removal("a")], 2, 5.0)
         self.assertEqual({"a", "b"}, set(made.entries))
         self.assertTrue(made.doubtful)
@@ -48,7 +48,7 @@
         made = self.copy()
         made.lose(1.0)
         made.lose(1.0 + GAP_S)
-        made.hear(5.0, 5.0, 5.0)
+        made.hear(5.0, 5.0)
         made.replace_all([entry("b")], 2, 5.0)
         made.apply([Change("a", entry("a", revision=3), 3)], 3, 6.0)
         made.expire(9.0)
@@ -57,7 +57,7 @@
     def test_one_failed_call_is_no_outage(self):
         made = self.copy()
         made.lose(4.0)
-        made.hear(4.1, 4.1, 4.1)
+        made.hear(4.1, 4.1)
         made.apply([removal("a")], 2, 4.2)
         self.assertEqual({"b"}, set(made.entries))
 
@@ -65,34 +65,24 @@
         made = self.copy()
         made.lose(1.0)
         made.lose(1.0 + GAP_S)
-        made.hear(5.0, 5.0, 5.0)
+        made.hear(5.0, 5.0)
         made.apply([removal("a")], 2, 7.5)
         self.assertEqual({"b"}, set(made.entries))
 
     def test_age_counts_from_the_start_of_the_call(self):
         made = FollowedCopy()
         self.assertIsNone(made.age_s(1.0))
-        made.hear(started_s=1.0, proved_s=1.0, now=1.8)
+        made.hear(proved_s=1.0, now=1.8)
         self.assertEqual(1.0, made.age_s(2.0))
 
 
-class CountingKeyValue(MemoryKeyValue):
-    """Counts the polls."""
-
-    polls = 0
-
-    async def poll(self, prefix, after, wait_s):
-        self.polls += 1
-        return await super().poll(prefix, after, wait_s)
-
-
 class FollowerTests(TestCase):
     def follow(self, scenario, *, wait_s=0.2, settle_s=0.0):
         async def main():
-            kv = CountingKeyValue(clock=time.monotonic, rng=random.Random(1))
+            kv = MemoryKeyValue(clock=time.monotonic, rng=random.Random(1))
             seen = []
             follower = PrefixFollower(
-                kv,
+                lambda: [kv],
                 "p/",
                 clock=time.monotonic,
                 rng=random.Random(2),
@@ -126,7 +116,7 @@
                 await kv.txn([], [Put(f"p/{number}", b"1")])
                 await asyncio.sleep(0.01)
             await eventually(lambda: seen and len(seen[-1]) == 64)
-            return kv.polls
+            return kv.counts.watches
 
         calls = self.follow(scenario, wait_s=5.0, settle_s=0.3)
         self.assertTrue(calls <= 6, calls)
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -10,7 +10,7 @@
 from testtools.matchers import LessThan
 
 from shallotpoint.callers.routes import STOP_RETRY_S
-from shallotpoint.controllers.sections import ConfigSection
+from shallotpoint.controllers.sections import ConfigSection, HostsSection
 from shallotpoint.coordination.kv import Put
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.daemons.route_router import Edges, RouteRouter
@@ -178,6 +178,29 @@
 
         self.play(scenario, hang)
 
+    def test_router_that_the_store_turns_away_goes_on_by_its_peers_word(self):
+        async def scenario(kv, session):
+            own_kv = MemoryKeyValue(
+                clock=time.monotonic, rng=random.Random(2), store=kv.store
+            )
+            async with router(kv, "one") as one, router(own_kv, "two") as two:
+                await eventually(lambda: one.ready() and two.ready())
+                await eventually(lambda: len(_routers(two)) == 2 == len(_routers(one)))
+                await eventually(lambda: two.peers is not None)
+                own_kv.faults.down = True
+                await kv.txn([], [config(4)])
+                await eventually(
+                    lambda: two.board.get(ConfigSection).config.version == 4
+                )
+                await asyncio.sleep(one.bounds.withdrawn_ms / 1000)
+                return two.keys.is_current(), (await ask(session, two))[0]
+
+        self.assertEqual((True, 200), self.play(scenario))
+
+
+def _routers(made):
+    return made.board.get(HostsSection).routers()
+
 
 class StopTests(RouterCase):
     def test_stop_is_bounded_also_with_work_that_does_not_end(self):
