Idle and slow callers are bounded; cut answers and stops end cleanly

The idle limit of the configuration was read and not applied, a request whose headers never end held its connection for good, a stream that is cut on purpose logged a fault of the HTTP server, and the store's session stayed open at a stop. test_httpd fails without each of the first three.

--- a/shallotpoint/callers/exchange.py
+++ b/shallotpoint/callers/exchange.py
@@ -95,11 +95,13 @@
             {"type": "http.response.start", "status": status, "headers": head}
         )
 
-    def cut(self) -> None:
+    async def cut(self) -> None:
         """End the connection without the rest of the answer."""
         transport = getattr(getattr(self._send, "__self__", None), "transport", None)
         if transport is not None:
             transport.abort()
+            # The server takes an answer without an end before that for a fault.
+            await self.wait_disconnect()
 
     def is_slow(self) -> bool:
         """Return whether the next write has to wait for the caller."""
--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -122,7 +122,7 @@
     async def fail(self, exc: RequestError) -> None:
         """Give the caller the final answer of a request without success."""
         if self.exchange.started:
-            self.exchange.cut()
+            await self.exchange.cut()
         elif self._kept is not None:
             await self._send_whole(self._kept)
         else:
@@ -201,7 +201,7 @@
     async def _send_whole(self, answer: _KeptAnswer) -> None:
         if self.exchange.started:
             # A stream that was carried on ends in a failure.
-            self.exchange.cut()
+            await self.exchange.cut()
             return
         length = (b"content-length", str(len(answer.body)).encode())
         await self.exchange.start(answer.status, [*answer.headers, length])
--- a/shallotpoint/coordination/kv.py
+++ b/shallotpoint/coordination/kv.py
@@ -187,3 +187,6 @@
 
 class PolledKeyValue(KeyValue, Source, Protocol):
     """A key-value service whose changes are also asked for call by call."""
+
+    async def close(self) -> None:
+        """Close all connections."""
--- a/shallotpoint/coordination/memory_kv.py
+++ b/shallotpoint/coordination/memory_kv.py
@@ -244,6 +244,9 @@
         finally:
             self.store.unsubscribe(queue)
 
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
     async def poll(self, prefix: str, after: Revision, wait_s: Seconds) -> Poll:
         """Return changes after a revision, waiting up to ``wait_s`` for one."""
         self.counts.watches += 1
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -176,6 +176,7 @@
     async def running(self) -> AsyncIterator[RouteRouter]:
         """Run the router for the length of a ``with`` block."""
         async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self.edges.kv.close)
             stack.push_async_callback(self.client.close)
             stack.push_async_callback(self._end_tasks)
             self._start("config", self.config.run())
@@ -272,13 +273,18 @@
         balancer = BalancerApp(self.ready, services)
         await self._serve(stack, balancer, self.settings.listen.balancer)
         await self._serve(stack, balancer, self.settings.listen.metrics)
-        await self._serve(stack, app, self.settings.listen.callers)
+        server = await self._serve(stack, app, self.settings.listen.callers)
+        _limit_connections(server, self.board.get(ConfigSection).config)
+        self.board.on_change(
+            ConfigSection, lambda section: _limit_connections(server, section.config)
+        )
 
-    async def _serve(self, stack, app, address: str) -> None:
+    async def _serve(self, stack, app, address: str) -> HttpServer:
         host, _, port = address.rpartition(":")
         server = HttpServer(app, host=host, port=int(port))
         await server.start()
         stack.push_async_callback(server.stop, grace_s=0.3)
+        return server
 
     # Peers
 
@@ -378,6 +384,11 @@
                     self.metrics.running.set(labels, scheduler.running_count(name))
 
 
+def _limit_connections(server: HttpServer, config: Config) -> None:
+    limits = config.routing.limits
+    server.limits.head_s, server.limits.idle_s = limits.head_s, limits.idle_s
+
+
 def _shared_budget(bounds: BoundSettings) -> SharedBudget:
     return SharedBudget(
         ratio=bounds.retry_ratio,
--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -4,17 +4,78 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 import ssl
 from collections.abc import AsyncIterator
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, cast
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from shallotpoint.types import Seconds
 
 BACKLOG = 2_048
-KEEP_ALIVE_S = 75
+KEEP_ALIVE_S = 75.0  # for callers without a configured limit
+HEAD_S = 10.0  # likewise; many times the travel of a request's head
+
+
+@dataclass(slots=True)
+class ConnectionLimits:
+    """How long a caller's connection may wait for a request; may be changed.
+
+    Attributes
+    ----------
+    head_s : float
+        From the first byte of a request to the end of its headers, in seconds.
+    idle_s : float
+        Without any request, in seconds.
+    """
+
+    head_s: Seconds = HEAD_S
+    idle_s: Seconds = KEEP_ALIVE_S
+
+
+class _LimitedProtocol(HttpToolsProtocol):
+    """Ends connections that are idle, or slow with a request's head, for too long."""
+
+    def __init__(self, *args: Any, limits: ConnectionLimits, **options: Any):
+        super().__init__(*args, **options)
+        self._limits = limits
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        self._expect_head(self._limits.idle_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._head_came()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._expect_head(self._limits.head_s)
+
+    def on_headers_complete(self) -> None:
+        self._head_came()
+        self.timeout_keep_alive = self._limits.idle_s  # type: ignore[assignment]
+        super().on_headers_complete()
+
+    def _expect_head(self, within_s: Seconds) -> None:
+        self._head_came()
+        self._head_timer = self.loop.call_later(within_s, self._too_slow, within_s)
+
+    def _head_came(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+
+    def _too_slow(self, within_s: Seconds) -> None:
+        if self.cycle is not None and not self.cycle.response_complete:
+            # The request before it is still being answered.
+            self._expect_head(within_s)
+            return
+        self.transport.close()
 
 
 class _QuietServer(uvicorn.Server):
@@ -34,6 +95,11 @@
         Address to listen on; port 0 lets the kernel choose.
     tls : ssl.SSLContext, optional
         Context of the server side.
+
+    Attributes
+    ----------
+    limits : ConnectionLimits
+        Changes hold for requests that begin later.
     """
 
     def __init__(
@@ -43,6 +109,7 @@
         self._host = host
         self._port = port
         self._tls = tls
+        self.limits = ConnectionLimits()
         self._server: _QuietServer | None = None
         self._task: asyncio.Task | None = None
 
@@ -62,7 +129,7 @@
         self._port = sock.getsockname()[1]
         config = uvicorn.Config(
             self._app,
-            http="httptools",
+            http=cast(Any, functools.partial(_LimitedProtocol, limits=self.limits)),
             ws="none",
             lifespan="off",
             log_config=None,
@@ -70,7 +137,6 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
         )
         config.load()
         config.ssl = self._tls
--- a/shallotpoint/policy/routes.py
+++ b/shallotpoint/policy/routes.py
@@ -145,11 +145,14 @@
 
     Attributes
     ----------
+    head_s : float
+        Time in which a request's headers have to arrive, in seconds.
     idle_s : float
         Time for which a kept connection may be idle, in seconds.
     """
 
     body_bytes: int = 4 << 20
+    head_s: Seconds = 10.0
     idle_s: Seconds = 75.0
 
 
