--- a/shallotpoint/cli.py
+++ b/shallotpoint/cli.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import fileinput
 import json
 import os
 import signal
@@ -32,6 +33,7 @@
     _add_router(commands)
     _add_check(commands)
     _add_operate(commands)
+    _add_logs(commands)
     _add_standin(commands)
     _add_demo(commands)
     _add_bench(commands)
@@ -64,6 +66,15 @@
     parser.set_defaults(run=_run_operate)
 
 
+def _add_logs(commands) -> None:
+    parser = commands.add_parser("logs", help="read the logs of routers")
+    verbs = parser.add_subparsers(required=True, metavar="VERB")
+    explain = verbs.add_parser("explain", help="tell the course of one request")
+    explain.add_argument("request", metavar="ID")
+    explain.add_argument("files", nargs="*", metavar="FILE", help="default: the input")
+    explain.set_defaults(run=_run_explain)
+
+
 def _add_standin(commands) -> None:
     parser = commands.add_parser("standin", help="run one stand-in")
     parser.add_argument("kind", choices=("kv", "hosts", "engine", "service"))
@@ -153,6 +164,24 @@
     )
 
 
+def _run_explain(args) -> int:
+    from shallotpoint.operators.logs import explain, read_lines
+
+    lines = []
+    try:
+        with fileinput.input(args.files or ["-"]) as raw_lines:
+            lines = read_lines(raw_lines)
+    except OSError as exc:
+        print(f"{exc.filename}: {exc.strerror}", file=sys.stderr)
+        return EXIT_USAGE
+    told = explain(lines, args.request)
+    if not told:
+        print(f"no line names the request {args.request}", file=sys.stderr)
+        return EXIT_FAILED
+    print("\n".join(told))
+    return EXIT_OK
+
+
 def _run_standin(args) -> int:
     from shallotpoint.daemons import standin
     from shallotpoint.logs import set_up_logging
