--- a/shallotpoint/callers/routes.py
+++ b/shallotpoint/callers/routes.py
@@ -165,7 +165,7 @@
         pool = self.services.pools.runner(route.pool_for(facts.id))
         if pool is None:
             raise RequestError(Result.NO_UPSTREAM, retry_after_s=0.5)
-        cls = class_of(route, organisation.tier)
+        cls = class_of(route, organisation.tier, config.routing.order)
         limit_s = arrived_s + route.timeout_s
         if facts.time_left_s is not None:
             limit_s = min(limit_s, arrived_s + facts.time_left_s)
--- a/shallotpoint/policy/routes.py
+++ b/shallotpoint/policy/routes.py
@@ -11,6 +11,7 @@
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.types import Seconds
 
+UPSTREAM_RANKS = 10  # upstreams tell so many ranks apart
 _SPLIT_STEPS = 1 << 32
 
 
@@ -156,6 +157,41 @@
     idle_s: Seconds = 75.0
 
 
+@dataclass(frozen=True, slots=True)
+class TierOrder:
+    """One order of all requests: by the organisation's tier, then by the route's.
+
+    Upstreams know one number for a request.  If that were the organisation's tier
+    alone, an organisation's long reports would go before its short questions.
+
+    Attributes
+    ----------
+    pairs : tuple of tuple
+        The tier that counts first and the route's own, most urgent first; empty
+        if there are more than upstreams can tell apart.
+    """
+
+    pairs: tuple[tuple[int, int], ...] = ()
+
+    @classmethod
+    def of(cls, routes: Iterable[Route], tiers: Iterable[int | None]) -> TierOrder:
+        """Return the order for routes and the tiers of organisations."""
+        ranked = {*tiers, None}
+        pairs = {
+            (route.tier if tier is None else tier, route.tier)
+            for route in routes
+            for tier in ranked
+        }
+        return cls(tuple(sorted(pairs)) if len(pairs) <= UPSTREAM_RANKS else ())
+
+    def rank(self, route: Route, tier: int | None) -> int:
+        """Return the rank of an organisation's requests on a route; 0 is first."""
+        pair = (route.tier if tier is None else tier, route.tier)
+        if pair not in self.pairs:
+            return pair[0]
+        return self.pairs.index(pair)
+
+
 @dataclass(frozen=True, slots=True)
 class Routing:
     """The part of the configuration that belongs to routes.
@@ -172,18 +208,21 @@
     key_holders: Mapping[str, str] = field(default_factory=dict)
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
+    order: TierOrder = TierOrder()
 
 
 @functools.lru_cache(maxsize=4_096)
-def class_of(route: Route, tier: int | None) -> ServiceClass:
+def class_of(
+    route: Route, tier: int | None, order: TierOrder = TierOrder()
+) -> ServiceClass:
     """Return the service class of a route's requests.
 
     Parameters
     ----------
     tier : int or None
-        Rank of the organisation, which goes before the route's.
+        Tier of the organisation, which goes before the route's.
     """
-    rank = route.tier if tier is None else tier
+    rank = order.rank(route, tier)
     # A stream that has not begun within its target makes room for fresh ones.
     max_wait_s = route.timeout_s
     if route.kind is RouteKind.STREAM:
@@ -196,6 +235,6 @@
         deadline_s=route.timeout_s,
         max_wait_s=max_wait_s,
     )
-    if rank == route.tier:
+    if rank == order.rank(route, None):
         return cls
     return replace(cls, name=f"{route.name}/tier-{rank}")
--- /dev/null
+++ b/shallotpoint/tests/test_routes.py
@@ -0,0 +1,41 @@
+"""The order of requests of several routes and organisations."""
+
+from dataclasses import replace
+
+from shallotpoint.policy.routes import UPSTREAM_RANKS, RouteKind, TierOrder, class_of
+from shallotpoint.testing.cases import TestCase
+from shallotpoint.testing.routing import route
+
+QUESTION = route(RouteKind.STREAM, name="question", tier=0)
+REPORT = route(RouteKind.STREAM, name="report", tier=2)
+
+
+class OrderTests(TestCase):
+    def test_an_organisations_questions_go_before_its_reports(self):
+        order = TierOrder.of((QUESTION, REPORT), (0, 1))
+        ranks = [
+            order.rank(known, tier) for tier in (0, 1) for known in (QUESTION, REPORT)
+        ]
+        self.assertEqual(sorted(set(ranks)), ranks)
+
+    def test_the_organisations_tier_goes_before_the_routes(self):
+        order = TierOrder.of((QUESTION, REPORT), (0, 1))
+        self.assertTrue(order.rank(REPORT, 0) < order.rank(QUESTION, 1))
+
+    def test_without_organisations_the_routes_tier_decides(self):
+        order = TierOrder.of((QUESTION, REPORT), ())
+        self.assertTrue(order.rank(QUESTION, None) < order.rank(REPORT, None))
+
+    def test_ranks_that_upstreams_cannot_tell_apart_fall_back_to_the_first(self):
+        routes = [replace(REPORT, tier=n) for n in range(6)]
+        order = TierOrder.of(routes, range(6))
+        self.assertEqual([3, 3], [order.rank(r, 3) for r in routes[:2]])
+        few = TierOrder.of(routes[:2], range(4))
+        ranks = [few.rank(r, tier) for tier in range(4) for r in routes[:2]]
+        self.assertTrue(max(ranks) < UPSTREAM_RANKS)
+
+    def test_classes_carry_the_rank(self):
+        order = TierOrder.of((QUESTION, REPORT), (1,))
+        question, report = (class_of(r, 1, order) for r in (QUESTION, REPORT))
+        self.assertTrue(question.tier < report.tier)
+        self.assertEqual("report", class_of(REPORT, None, order).name)
