A request that meets another upstream at the address goes on as if it had met none

After crashes their engines' addresses belonged to others (421), the store was resetting connections, so that the entries stayed, and the route allows one attempt. The upstream that was meant has seen nothing; its attempt is no longer counted, its cache is taken for gone, and it is left alone like one that cannot be reached. The repeat is still taken from the shared budget, as the other upstream did see an arrival.

--- a/shallotpoint/callers/dialect.py
+++ b/shallotpoint/callers/dialect.py
@@ -84,10 +84,13 @@
         Id of the request that is answered.
     not_run : bool
         Whether the upstream states that it did not run the request.
+    misdirected : bool
+        Whether it is not the upstream that the request was meant for.
     """
 
     request: str | None
     not_run: bool
+    misdirected: bool = False
 
 
 class Dialect(Protocol):
--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -185,6 +185,10 @@
 
     def _check(self, facts: AnswerFacts, resp: aiohttp.ClientResponse) -> None:
         """Raise UpstreamFailure unless this answers the request."""
+        if facts.misdirected:
+            raise UpstreamFailure(
+                Result.RETRY_MISDIRECTED, "another upstream answers at the address"
+            )
         if facts.not_run:
             raise UpstreamFailure(
                 Result.RETRY_REFUSED, f"refused with status {resp.status}"
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -27,6 +27,7 @@
 _GAVE_UP = {
     Result.RETRY_CONNECT: Result.UPSTREAM_REFUSED,
     Result.RETRY_REFUSED: Result.UPSTREAM_REFUSED,
+    Result.RETRY_MISDIRECTED: Result.UPSTREAM_REFUSED,
     Result.RETRY_BROKE: Result.UPSTREAM_BROKE,
     Result.RETRY_ERROR: Result.UPSTREAM_BROKE,
 }
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -22,7 +22,7 @@
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.policy.state import PoolState
 from shallotpoint.policy.ticket import Course
-from shallotpoint.results import Result
+from shallotpoint.results import NOT_REACHED, Result
 from shallotpoint.types import Seconds
 
 CHOICES = 4  # engines compared for one request
@@ -46,7 +46,7 @@
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
 FAILURE_GAIN = 0.15  # weight of the newest outcome in the failure share
 FAILURE_WEIGHT_S = 2.0  # what a certain failure costs, in seconds of waiting
-_DEAD = (Result.RETRY_CONNECT, Result.UPSTREAM_TIMEOUT)
+_DEAD = NOT_REACHED | {Result.UPSTREAM_TIMEOUT}
 
 
 @dataclass(slots=True)
@@ -206,7 +206,7 @@
     ) -> None:
         """Note a failed attempt."""
         self._book.fail(upstream, reason, now)
-        if reason is Result.RETRY_CONNECT:
+        if reason in NOT_REACHED:
             self.load(upstream).clear()
 
     def ended(self, course: Course, upstream: str, now: Seconds) -> None:
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -31,7 +31,7 @@
 from shallotpoint.policy.tuning import Tuning
 from shallotpoint.policy.verdicts import verdict_on_retry
 from shallotpoint.policy.view import PoolView
-from shallotpoint.results import Result
+from shallotpoint.results import NOT_REACHED, Result
 from shallotpoint.types import Seconds
 
 PREPAID_TOKENS = 16  # charged when sent, so that one organisation is not sent all
@@ -206,7 +206,7 @@
         if course is None or course.leg_on(upstream) is None:
             return None
         self._note_failure(course, upstream, reason, now)
-        if reason is not Result.RETRY_CONNECT:
+        if reason not in NOT_REACHED:
             course.reached += 1
         self._end_leg(course, upstream, now)
         if course.legs:
--- a/shallotpoint/policy/verdicts.py
+++ b/shallotpoint/policy/verdicts.py
@@ -5,11 +5,9 @@
 from shallotpoint.policy.rescue import MAX_MOVES
 from shallotpoint.policy.state import PoolState
 from shallotpoint.policy.ticket import Course
-from shallotpoint.results import Result
+from shallotpoint.results import NOT_RUN, Result
 from shallotpoint.types import Seconds
 
-_NOT_RUN = (Result.RETRY_CONNECT, Result.RETRY_REFUSED)
-
 
 def verdict_on_retry(
     state: PoolState,
@@ -28,7 +26,7 @@
         The code to give up with, or None to try again.
     """
     ticket = course.ticket
-    sent = reason not in _NOT_RUN
+    sent = reason not in NOT_RUN
     broke = Result.STREAM_CUT if course.tokens else Result.UPSTREAM_BROKE
     if state.poison.blocked(ticket.fingerprint, now):
         return Result.POISON
--- a/shallotpoint/results.py
+++ b/shallotpoint/results.py
@@ -75,6 +75,7 @@
     RETRY_HEDGE = 404
     RETRY_PREEMPTED = 405
     RETRY_ERROR = 406
+    RETRY_MISDIRECTED = 407
 
     ACCEPTED = 500
     CONFLICT = 501
@@ -329,6 +330,10 @@
         "the upstream answered with an error of its own; another was tried",
         "read the upstream's logs",
     ),
+    Result.RETRY_MISDIRECTED: _retry(
+        "another upstream answered at the upstream's address; another was tried",
+        "look for an upstream that ended and is still listed",
+    ),
     Result.ACCEPTED: _operator(200, "the change is stored", "nothing"),
     Result.CONFLICT: _operator(
         409,
@@ -385,3 +390,12 @@
         )
         lines.append(f"| {' | '.join(cells)} |")
     return "\n".join(lines) + "\n"
+
+
+NOT_RUN = frozenset(
+    {Result.RETRY_CONNECT, Result.RETRY_REFUSED, Result.RETRY_MISDIRECTED}
+)
+"""Reasons of failed attempts after which the request surely has not run."""
+
+NOT_REACHED = frozenset({Result.RETRY_CONNECT, Result.RETRY_MISDIRECTED})
+"""Those after which the upstream that was meant has seen nothing of it."""
--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -84,7 +84,9 @@
 
     def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerFacts:
         """Return what an upstream's answer says."""
-        return AnswerFacts(headers.get("x-request-id"), "x-not-run" in headers)
+        misdirected = "x-misdirected" in headers
+        not_run = misdirected or "x-not-run" in headers
+        return AnswerFacts(headers.get("x-request-id"), not_run, misdirected)
 
     def write_retry_after(self, wait_s: Seconds) -> bytes:
         """Return the value of ``Retry-After``."""
--- a/shallotpoint/tests/test_route_run.py
+++ b/shallotpoint/tests/test_route_run.py
@@ -101,6 +101,22 @@
         self.assertNotEqual(b"busy", body)
         self.assertEqual(1, len(upstream.received))
 
+    def test_another_upstream_at_the_address_costs_no_attempt(self):
+        async def other(line: Line) -> None:
+            await line.answer(421, b"", headers=["x-misdirected: 1"])
+
+        async def scenario(fleet):
+            statuses = []
+            for number in range(6):
+                status, _, _ = await fleet.ask(x_request_id=f"r{number}")
+                statuses.append(status)
+            return statuses
+
+        once = route(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+        wrong, right = ScriptedUpstream(other), ScriptedUpstream()
+        self.assertEqual([200] * 6, self.play(once, wrong, right, scenario=scenario))
+        self.assertEqual(1, len(wrong.received))
+
     def test_unreachable_upstream_costs_no_attempt(self):
         async def scenario(fleet):
             gone = Host("u0", "upstream", "127.0.0.1:9", "here", pool="desk", slots=4)
--- a/shallotpoint/upstreams/client.py
+++ b/shallotpoint/upstreams/client.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from shallotpoint.results import Result
+from shallotpoint.results import NOT_RUN, Result
 from shallotpoint.types import Seconds
 
 REFUSAL_STATUSES = frozenset({429, 503})
@@ -28,7 +28,7 @@
     Attributes
     ----------
     reason : Result
-        ``RETRY_CONNECT`` and ``RETRY_REFUSED`` say that nothing ran.
+        Those of :data:`~shallotpoint.results.NOT_RUN` say that nothing ran.
     """
 
     def __init__(self, reason: Result, message: str):
@@ -38,7 +38,7 @@
     @property
     def not_run(self) -> bool:
         """Whether the request certainly did not run."""
-        return self.reason in (Result.RETRY_CONNECT, Result.RETRY_REFUSED)
+        return self.reason in NOT_RUN
 
 
 @dataclass(frozen=True, slots=True)
