--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -16,6 +16,7 @@
 from shallotpoint.controllers.journal import CourseLog, Journal, RefusalLog
 from shallotpoint.controllers.pools import PoolRunner, PoolsController
 from shallotpoint.errors import RequestError
+from shallotpoint.hashing import content_name
 from shallotpoint.metrics import Metrics
 from shallotpoint.policy.actions import Refused
 from shallotpoint.policy.ticket import Ticket
@@ -101,6 +102,7 @@
             with contextlib.suppress(OSError):
                 await self.fail(exc)
         finally:
+            self._log_given_up()
             self.pool.abandon(self.ticket.id)
             for task in [*self._legs.values(), self._end_task]:
                 if task is not None:
@@ -149,6 +151,7 @@
             "request sent",
             extra={
                 "request": self.ticket.id,
+                "content": content_name(self.ticket.fingerprint),
                 "pool": self.pool.pool.name,
                 "upstream": upstream,
                 "attempt": self.attempts,
@@ -247,6 +250,20 @@
             return
         self._settle(self.final_error(verdict, exc))
 
+    def _log_given_up(self) -> None:
+        """Log the legs that the end of the request leaves without an answer."""
+        for upstream in self._legs:
+            _log.info(
+                "attempt given up",
+                extra={
+                    "request": self.ticket.id,
+                    "content": content_name(self.ticket.fingerprint),
+                    "pool": self.pool.pool.name,
+                    "upstream": upstream,
+                    "events": self.log.tokens,
+                },
+            )
+
     async def _end_answer(self) -> None:
         try:
             await self.write_end_once()
--- a/shallotpoint/controllers/load_sharing.py
+++ b/shallotpoint/controllers/load_sharing.py
@@ -22,11 +22,12 @@
     credit_key,
 )
 from shallotpoint.coordination.gossip import Board, Row
+from shallotpoint.hashing import content_name
 from shallotpoint.policy.engine_load import PeerLoad
 from shallotpoint.policy.load_sums import From, Loads, LoadSums, add
 from shallotpoint.policy.poison import CrashReport
 from shallotpoint.policy.route_placement import EnginePlacement
-from shallotpoint.types import Clock
+from shallotpoint.types import Clock, Seconds
 
 TICK_S = 0.1  # below the time in which an engine reads one long prompt
 
@@ -80,6 +81,7 @@
         self._parent = parent
         self._data_centre = data_centre
         self._write = board.claim(CreditsSection, "load")
+        self._gossip = gossip
         self._crashes = CrashNews(gossip)
         self._sums = LoadSums()
 
@@ -91,6 +93,7 @@
 
     def crashed(self, report: CrashReport) -> None:
         """Spread a crash that was seen here."""
+        _log_crash(report, self._gossip.name, self._clock())
         self._crashes.add(report, now=self._clock())
         self._on_news()
 
@@ -100,7 +103,8 @@
         for row in rows:
             if row.topic == CRASHES_TOPIC:
                 for report in read_crashes(row.payload, now=now):
-                    self._pools.poison.crashed(report)
+                    if self._pools.poison.crashed(report):
+                        _log_crash(report, row.origin, now)
 
     # Messages, carried by Peers
 
@@ -158,6 +162,18 @@
                 )
 
 
+def _log_crash(report: CrashReport, source: str, now: Seconds) -> None:
+    _log.info(
+        "crash counted",
+        extra={
+            "content": content_name(report.fingerprint),
+            "upstream": report.upstream,
+            "source": source,
+            "age_s": round(now - report.at_s, 3),
+        },
+    )
+
+
 def _encode(place: From, loads: Loads) -> bytes:
     pools: dict[str, list[_WireLoad]] = {}
     for (pool, upstream), load in loads.items():
--- a/shallotpoint/hashing.py
+++ b/shallotpoint/hashing.py
@@ -13,6 +13,11 @@
     return xxhash.xxh64_intdigest(raw)
 
 
+def content_name(fingerprint: int) -> str:
+    """Return a request's fingerprint as logs show it."""
+    return f"{fingerprint:016x}"
+
+
 def hash_key(key: str) -> str:
     """Return the form in which API keys and operator tokens are stored."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -73,14 +73,16 @@
         self._records: dict[int, _Record] = {}
         self._by_upstream: dict[str, dict[int, Seconds]] = {}
 
-    def crashed(self, report: CrashReport) -> None:
-        """Record a crash, whether seen here or heard from a peer."""
+    def crashed(self, report: CrashReport) -> bool:
+        """Record a crash, seen here or heard from a peer; return whether it is new."""
         if not report.fingerprint:
-            return
+            return False
         record = self._records.setdefault(report.fingerprint, _Record())
+        is_new = report.upstream not in record.upstreams
         record.upstreams[report.upstream] = report.at_s
         victims = self._by_upstream.setdefault(report.upstream, {})
         victims[report.fingerprint] = report.at_s
+        return is_new
 
     def suspected(self, fingerprint: int, now: Seconds) -> bool:
         """Return whether the request was on an upstream as that crashed."""
