An end of an upstream is put down to the request that was on most ends

Callers saw: a request that ends its upstreams went on where upstreams are busy, and a sound one that was beside two ends was refused for it. Cause: an upstream under which more than three requests broke counted as sick and its end for none of them, though a confirmed end proves no sickness; and each request on an ended upstream was counted alike. Now the request that was on most ends explains them; three ends block on the users' platform; a whole answer clears a request, and an upstream that answers a later attempt had not ended. Ends are told apart by start, and a request that keeps coming is not forgotten. Reports of unconfirmed breaks (the demo's engines) keep the rule of sickness.

--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -20,7 +20,7 @@
 from shallotpoint.platform_api.hosts import HostState
 from shallotpoint.policy.actions import Admission, Admitted, Expire, Send, Withdraw
 from shallotpoint.policy.model import Pool
-from shallotpoint.policy.poison import CrashReport, PoisonBook
+from shallotpoint.policy.poison import SICK_AFTER, CrashReport, PoisonBook
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.state import Slots
 from shallotpoint.policy.ticket import Ticket
@@ -159,7 +159,7 @@
         make_scheduler: Callable[[Pool, PoisonBook], Scheduler] | None = None,
         poison: PoisonBook | None = None,
     ):
-        self.poison = poison or PoisonBook()
+        self.poison = poison or PoisonBook(sick_after=SICK_AFTER)
         self._make_scheduler = make_scheduler
         self._board = board
         self._data_centre = data_centre
@@ -276,6 +276,7 @@
                 near=host is None or host.data_centre == self._data_centre,
                 draining=unknown or leaving or name in config.drained,
                 elsewhere=credits.elsewhere.get(key, 0),
+                started_ms=host.started_ms if host else 0,
             )
         return slots
 
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -65,6 +65,7 @@
 STOP_MARGIN_S = 0.9  # the stop ends this long before the platform would kill
 LEAVE_S = 3.2  # the balancer asks each second and leaves after two refusals
 STOP_POLL_S = 0.05
+ENDS_TO_BLOCK = 3  # a sound request is seldom on as many in a row without an answer
 SECRET_RETRY_S = 0.5
 MEASURE_S = 1.0
 
@@ -126,7 +127,7 @@
         self._tasks = Tasks()
         self.gossip = Board(self.name, self._incarnation)
         self.client = BoundClient()
-        self.poison = PoisonBook()
+        self.poison = PoisonBook(block_after=ENDS_TO_BLOCK)
         self.closures = ClosureBook(self._rng)
         self.config = RouteConfigController(
             self.board,
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -24,7 +24,12 @@
 from shallotpoint.policy.closures import ClosureBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.placement import ByExpectedWait, Placement
-from shallotpoint.policy.poison import CrashReport, CrashSuspicions, PoisonBook
+from shallotpoint.policy.poison import (
+    SICK_AFTER,
+    CrashReport,
+    CrashSuspicions,
+    PoisonBook,
+)
 from shallotpoint.policy.queueing import FairQueue
 from shallotpoint.policy.retries import WindowBudget
 from shallotpoint.policy.state import PoolState, Slots
@@ -77,7 +82,9 @@
         budget: WindowBudget | None = None,
         closures: ClosureBook | None = None,
     ):
-        super().__init__(PoolState(tuning or Tuning(), poison or PoisonBook()))
+        super().__init__(
+            PoolState(tuning or Tuning(), poison or PoisonBook(sick_after=SICK_AFTER))
+        )
         if closures is not None:
             self._state.closures = closures
         self._state.shared_budget = budget
@@ -131,6 +138,7 @@
         self._state.demand[cls.name].arrive(now)
         if self._state.shared_budget is not None:
             self._state.shared_budget.request(now)
+        self._state.poison.asked(ticket.fingerprint, now)
         assessed = admission.assess(self._state, ticket, now)
         if isinstance(assessed, Refused):
             return assessed
@@ -151,6 +159,7 @@
         actions: list[Action] = []
         if leg.first_s is None:
             leg.first_s = now
+            self._state.poison.alive(leg.incarnation, leg.sent_s)
             self._state.starting.pop(ticket_id, None)
             self.health.answered(upstream, now - leg.sent_s, now)
             self.placement.answered(course, upstream, now)
@@ -188,6 +197,9 @@
             if leg.first_s is None:
                 self.health.answered(upstream, now - leg.sent_s, now)
                 actions = self._drop_other_legs(course, leg, now)
+            self._state.poison.answered(
+                course.ticket.fingerprint, leg.incarnation, leg.sent_s
+            )
             self._state.budget(course.ticket, upstream).succeed(now)
         self._end_legs(course, now)
         self._forget(course)
@@ -358,9 +370,10 @@
         self, course: Course, upstream: str, now: Seconds, *, hedge: bool = False
     ) -> Send:
         ticket = course.ticket
-        course.legs.append(Leg(upstream, sent_s=now, hedge=hedge))
-        course.tried.append(upstream)
         slots = self.upstreams[upstream]
+        leg = Leg(upstream, sent_s=now, started_ms=slots.started_ms, hedge=hedge)
+        course.legs.append(leg)
+        course.tried.append(upstream)
         slots.running.add(ticket.id)
         if course.suspect:
             slots.suspect = ticket.id
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -34,6 +34,8 @@
         Requests that the upstream runs at once.
     elsewhere : int
         Requests of other routers there, by their last word.
+    started_ms : int
+        Start of the present incarnation, 0 if starts are not told apart.
     closed : bool
         Whether it turned work away and the time that it named is not over.
     suspect : str or None
@@ -45,6 +47,7 @@
     near: bool = True
     draining: bool = False
     elsewhere: int = 0
+    started_ms: int = 0
     closed: bool = False
     running: set[str] = field(default_factory=set)
     suspect: str | None = None
--- a/shallotpoint/policy/ticket.py
+++ b/shallotpoint/policy/ticket.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.poison import Incarnation
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.types import Seconds
 
@@ -70,18 +71,26 @@
 
     Attributes
     ----------
+    started_ms : int
+        Start of the upstream as it was known when the request was sent.
     held_back : bool
         Whether the stream waits for its caller, not for its upstream.
     """
 
     upstream: str
     sent_s: Seconds
+    started_ms: int = 0
     first_s: Seconds | None = None
     last_s: Seconds | None = None
     tokens: int = 0
     hedge: bool = False
     held_back: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start of the upstream that the request was sent to."""
+        return Incarnation(self.upstream, self.started_ms)
+
     @property
     def waiting(self) -> bool:
         """Whether the first token is still to come."""
--- a/shallotpoint/tests/test_poison.py
+++ b/shallotpoint/tests/test_poison.py
@@ -1,6 +1,12 @@
 """Which requests are blocked for what happened to the upstreams that ran them."""
 
-from shallotpoint.policy.poison import CrashReport, PoisonBook
+from shallotpoint.policy.poison import (
+    EXPIRY_S,
+    SICK_AFTER,
+    CrashReport,
+    Incarnation,
+    PoisonBook,
+)
 from shallotpoint.testing.cases import TestCase
 
 FATAL = 1
@@ -24,3 +30,72 @@
             book.crashed(CrashReport(7, f"u{number}", 1.0 + number))
         self.assertTrue(book.blocked(FATAL, 5.0))
         self.assertFalse(book.blocked(7, 5.0))
+
+    def test_each_start_of_one_upstream_counts(self):
+        book = PoisonBook(block_after=3)
+        for started_ms in (1, 2, 3):
+            book.crashed(CrashReport(FATAL, "u1", 1.0, started_ms))
+            book.crashed(CrashReport(FATAL, "u1", 1.5, started_ms))
+        self.assertEqual(3, book.count(FATAL, 2.0))
+
+    def test_two_fatal_requests_are_both_blocked(self):
+        book = PoisonBook()
+        for number in range(4):
+            book.crashed(CrashReport(FATAL, f"u{number}", 1.0))
+        for number in range(3, 7):
+            book.crashed(CrashReport(FATAL + 1, f"u{number}", 1.0))
+        self.assertTrue(book.blocked(FATAL, 2.0) and book.blocked(FATAL + 1, 2.0))
+
+    def test_broken_connections_of_many_requests_blame_the_upstream(self):
+        book = PoisonBook(sick_after=SICK_AFTER)
+        for content in range(1, SICK_AFTER + 2):
+            for upstream in ("u1", "u2"):
+                book.crashed(CrashReport(content, upstream, 1.0))
+        self.assertFalse(book.suspected(FATAL, 2.0))
+
+
+class AnswerTests(TestCase):
+    def book(self, *upstreams):
+        made = PoisonBook()
+        for upstream in upstreams:
+            made.crashed(CrashReport(FATAL, upstream, 1.0))
+        return made
+
+    def test_whole_answer_clears_a_request(self):
+        book = self.book("u1", "u2")
+        book.answered(FATAL, Incarnation("u3"), sent_s=1.5)
+        self.assertFalse(book.suspected(FATAL, 2.0))
+
+    def test_reports_that_come_late_do_not_bring_it_back(self):
+        book = self.book("u1", "u2")
+        book.answered(FATAL, Incarnation("u3"), sent_s=1.5)
+        self.assertFalse(book.crashed(CrashReport(FATAL, "u2", 1.2)))
+        self.assertTrue(book.crashed(CrashReport(FATAL, "u4", 1.7)))
+
+    def test_upstream_that_answers_later_attempts_had_not_ended(self):
+        book = self.book("u1", "u2")
+        book.alive(Incarnation("u1"), sent_s=1.5)
+        self.assertEqual(1, book.count(FATAL, 2.0))
+        self.assertFalse(book.crashed(CrashReport(FATAL, "u1", 1.2)))
+
+    def test_answer_to_an_attempt_from_before_the_end_proves_nothing(self):
+        book = self.book("u1", "u2")
+        book.alive(Incarnation("u1"), sent_s=0.9)
+        book.answered(FATAL, Incarnation("u1"), sent_s=0.9)
+        self.assertTrue(book.blocked(FATAL, 2.0))
+
+
+class ExpiryTests(TestCase):
+    def test_request_that_no_longer_comes_is_forgotten(self):
+        book = AnswerTests.book(self, "u1", "u2")
+        book.expire(EXPIRY_S + 2.0)
+        self.assertFalse(book.ends(FATAL))
+
+    def test_budget_rare_repeats_stay_blocked(self):
+        # BUDGET: repeats minutes apart, for longer than a record lasts by itself.
+        book = AnswerTests.book(self, "u1", "u2")
+        for step in range(1, 6):
+            now = step * EXPIRY_S * 0.8
+            book.expire(now)
+            self.assertTrue(book.blocked(FATAL, now))
+            book.asked(FATAL, now)
