An end is counted whenever it shows, not only by a refused connection within 1.5 s

Cause: a crash counted only if a connection broke under the request and the same router was then refused one within 1.5 s; attempts that their caller's time ended left nothing. The same place took a connect that timed out, and an attempt without time left, for a crash. Now each attempt is kept until its upstream has answered a later one, or has shown its end: a refused connection, another upstream at its address, a lapsed entry, a new start, or a peer's word. After the first end, upstreams that have been silent under the request count as well. What may still be connecting is not on it.

--- a/shallotpoint/bench/baselines.py
+++ b/shallotpoint/bench/baselines.py
@@ -55,7 +55,9 @@
         self._connections[upstream] -= 1
         return []
 
-    def failed(self, ticket_id, upstream, reason, now, *, may_retry=True):
+    def failed(
+        self, ticket_id, upstream, reason, now, *, may_retry=True, is_gone=False
+    ):
         """Send it again elsewhere, at most three times."""
         course = self.courses[ticket_id]
         self._connections[upstream] -= 1
--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -201,7 +201,9 @@
         """Raise UpstreamFailure unless this answers the request."""
         if facts.misdirected:
             raise UpstreamFailure(
-                Result.RETRY_MISDIRECTED, "another upstream answers at the address"
+                Result.RETRY_MISDIRECTED,
+                "another upstream answers at the address",
+                is_gone=True,
             )
         if facts.not_run:
             raise UpstreamFailure(
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -237,7 +237,11 @@
         if not exc.not_run:
             self.sent = True
         verdict = self.pool.failed(
-            self.ticket.id, upstream, exc.reason, may_retry=self.may_retry()
+            self.ticket.id,
+            upstream,
+            exc.reason,
+            may_retry=self.may_retry(),
+            is_gone=exc.is_gone,
         )
         if self.lacks_only_its_end():
             return
--- a/shallotpoint/controllers/crash_news.py
+++ b/shallotpoint/controllers/crash_news.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Sequence
+
 import msgspec
 
 from shallotpoint.coordination.gossip import Board
@@ -19,31 +21,50 @@
     fingerprint: int
     upstream: str
     age_s: Seconds
+    started_ms: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(list[_WireCrash])
 
 
 class CrashNews:
-    """The crashes that this router has seen, published as one row."""
+    """The crashes that this router has seen, published as one row.
+
+    Parameters
+    ----------
+    is_current : Callable
+        Returns whether a report still holds; others are no longer published.
+    """
 
-    def __init__(self, board: Board):
+    def __init__(
+        self,
+        board: Board,
+        *,
+        is_current: Callable[[CrashReport], bool] = lambda report: True,
+    ):
         self._board = board
+        self._is_current = is_current
         self._reports: list[CrashReport] = []
 
-    def add(self, report: CrashReport, *, now: Seconds) -> None:
-        """Publish one more crash."""
-        kept = [r for r in self._reports if now - r.at_s < KEPT_S][-KEPT:]
-        self._reports = [*kept, report]
+    def add(self, reports: Sequence[CrashReport], *, now: Seconds) -> None:
+        """Publish more crashes."""
+        held = [r for r in self._reports if self._holds(r, now)]
+        self._reports = [*held, *reports][-KEPT:]
         wire = [
-            _WireCrash(r.fingerprint, r.upstream, now - r.at_s) for r in self._reports
+            _WireCrash(r.fingerprint, r.upstream, now - r.at_s, r.started_ms)
+            for r in self._reports
         ]
         self._board.publish(CRASHES_TOPIC, msgspec.msgpack.encode(wire), now=now)
 
+    def _holds(self, report: CrashReport, now: Seconds) -> bool:
+        return now - report.at_s < KEPT_S and self._is_current(report)
+
 
 def read_crashes(payload: bytes, *, now: Seconds) -> list[CrashReport]:
     """Return the reports of a row, by the clock of this router."""
     return [
-        CrashReport(crash.fingerprint, crash.upstream, now - crash.age_s)
+        CrashReport(
+            crash.fingerprint, crash.upstream, now - crash.age_s, crash.started_ms
+        )
         for crash in _decoder.decode(payload)
     ]
--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -107,7 +107,7 @@
 
     def crashed(self, report: CrashReport) -> None:
         """Spread a crash that was seen here."""
-        self._crashes.add(report, now=self._clock())
+        self._crashes.add([report], now=self._clock())
         self._on_news()
 
     def judged_slow(self, pool: str, upstream: str) -> None:
--- a/shallotpoint/controllers/directory.py
+++ b/shallotpoint/controllers/directory.py
@@ -25,7 +25,7 @@
     Put,
     Source,
 )
-from shallotpoint.platform_api.hosts import Host
+from shallotpoint.platform_api.hosts import Host, HostState
 from shallotpoint.types import Clock, Seconds
 
 UPSTREAM_POLL_S = 4.0  # longest wait of one call; changes are told at once
@@ -65,6 +65,9 @@
         Reads an upstream's entry; raises :class:`UnreadableEntry`.
     on_restart : Callable
         Called with the name of an upstream that started anew.
+    on_end : Callable
+        Called with the last entry of an upstream that is no longer listed without
+        having said that it leaves, or that started anew.
     """
 
     def __init__(
@@ -78,9 +81,11 @@
         clock: Clock,
         rng: random.Random,
         on_restart: Callable[[str], None] = lambda upstream: None,
+        on_end: Callable[[Host], None] = lambda host: None,
     ):
         self._read_upstream = read_upstream
         self._on_restart = on_restart
+        self._on_end = on_end
         self._upstreams: dict[str, Host] = {}
         self._routers: dict[str, Host] = {}
         self._read: dict[str, tuple[bytes, Host | None]] = {}
@@ -160,6 +165,7 @@
                 continue
             if before is not None and _started_anew(before, host):
                 self._on_restart(name)
+                self._on_end(before)
             _log.info(
                 "upstream listed",
                 extra={
@@ -171,6 +177,8 @@
             )
         for name in old.keys() - new.keys():
             _log.info("upstream gone", extra={"upstream": name})
+            if old[name].state is HostState.LIVE:
+                self._on_end(old[name])
 
     def _publish(self) -> None:
         hosts = [*self._upstreams.values(), *self._routers.values()]
--- a/shallotpoint/controllers/load_sharing.py
+++ b/shallotpoint/controllers/load_sharing.py
@@ -8,26 +8,22 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
 
 from shallotpoint.blackboard import Blackboard
-from shallotpoint.controllers.crash_news import CRASHES_TOPIC, CrashNews, read_crashes
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.sections import (
     CreditsSection,
     HostsSection,
     credit_key,
 )
-from shallotpoint.coordination.gossip import Board, Row
-from shallotpoint.hashing import content_name
 from shallotpoint.policy.engine_load import PeerLoad
 from shallotpoint.policy.load_sums import From, Loads, LoadSums, add
-from shallotpoint.policy.poison import CrashReport
 from shallotpoint.policy.route_placement import EnginePlacement
-from shallotpoint.types import Clock, Seconds
+from shallotpoint.types import Clock
 
 TICK_S = 0.1  # below the time in which an engine reads one long prompt
 
@@ -55,7 +51,7 @@
 
 
 class LoadController:
-    """Owns :class:`CreditsSection`; shares loads and crash reports.
+    """Owns :class:`CreditsSection`; shares loads.
 
     Parameters
     ----------
@@ -66,23 +62,18 @@
     def __init__(
         self,
         board: Blackboard,
-        gossip: Board,
         pools: PoolsController,
         *,
         clock: Clock,
-        on_news: Callable[[], None],
         parent: Callable[[], str | None],
         data_centre: str,
     ):
         self._board = board
         self._pools = pools
         self._clock = clock
-        self._on_news = on_news
         self._parent = parent
         self._data_centre = data_centre
         self._write = board.claim(CreditsSection, "load")
-        self._gossip = gossip
-        self._crashes = CrashNews(gossip)
         self._sums = LoadSums()
 
     async def run(self) -> None:
@@ -91,21 +82,6 @@
             await asyncio.sleep(TICK_S)
             self._take_over()
 
-    def crashed(self, report: CrashReport) -> None:
-        """Spread a crash that was seen here."""
-        _log_crash(report, self._gossip.name, self._clock())
-        self._crashes.add(report, now=self._clock())
-        self._on_news()
-
-    def take_rows(self, rows: Sequence[Row]) -> None:
-        """Take in crash reports of peers."""
-        now = self._clock()
-        for row in rows:
-            if row.topic == CRASHES_TOPIC:
-                for report in read_crashes(row.payload, now=now):
-                    if self._pools.poison.crashed(report):
-                        _log_crash(report, row.origin, now)
-
     # Messages, carried by Peers
 
     def ask(self, name: str) -> bytes:
@@ -162,18 +138,6 @@
                 )
 
 
-def _log_crash(report: CrashReport, source: str, now: Seconds) -> None:
-    _log.info(
-        "crash counted",
-        extra={
-            "content": content_name(report.fingerprint),
-            "upstream": report.upstream,
-            "source": source,
-            "age_s": round(now - report.at_s, 3),
-        },
-    )
-
-
 def _encode(place: From, loads: Loads) -> bytes:
     pools: dict[str, list[_WireLoad]] = {}
     for (pool, upstream), load in loads.items():
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -90,11 +90,22 @@
         self.poll()
 
     def failed(
-        self, ticket_id: str, upstream: str, reason: Result, *, may_retry: bool
+        self,
+        ticket_id: str,
+        upstream: str,
+        reason: Result,
+        *,
+        may_retry: bool,
+        is_gone: bool = False,
     ) -> Result | None:
         """Note a failed leg; return the code to give up with, if any."""
         verdict = self.scheduler.failed(
-            ticket_id, upstream, reason, self._clock(), may_retry=may_retry
+            ticket_id,
+            upstream,
+            reason,
+            self._clock(),
+            may_retry=may_retry,
+            is_gone=is_gone,
         )
         if verdict is not None:
             self._runners.pop(ticket_id, None)
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -21,6 +21,7 @@
 from shallotpoint.callers.route_run import RouteEdges
 from shallotpoint.callers.routes import BalancerApp, KeyView, RoutesApp
 from shallotpoint.callers.run import Services
+from shallotpoint.controllers.crashes import CrashController
 from shallotpoint.controllers.departures import (
     DEPARTURES_TOPIC,
     DepartureController,
@@ -34,7 +35,12 @@
 from shallotpoint.controllers.load_sharing import LoadController
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.route_config import RouteConfigController
-from shallotpoint.controllers.sections import ConfigSection, HostsSection, StopSection
+from shallotpoint.controllers.sections import (
+    ConfigSection,
+    DeparturesSection,
+    HostsSection,
+    StopSection,
+)
 from shallotpoint.coordination.config import ConfigState
 from shallotpoint.coordination.copies import CopyServer, PeerSource
 from shallotpoint.coordination.gossip import Board, Row
@@ -49,6 +55,7 @@
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.policy.closures import ClosureBook
 from shallotpoint.policy.configuration import Config
+from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.freshness import FreshnessRule
 from shallotpoint.policy.model import Pool, PoolKind
 from shallotpoint.policy.poison import PoisonBook
@@ -128,6 +135,7 @@
         self.gossip = Board(self.name, self._incarnation)
         self.client = BoundClient()
         self.poison = PoisonBook(block_after=ENDS_TO_BLOCK)
+        self.exposures = ExposureBook()
         self.closures = ClosureBook(self._rng)
         self.config = RouteConfigController(
             self.board,
@@ -141,7 +149,7 @@
             self.board,
             data_centre=settings.router.data_centre,
             clock=self._clock,
-            on_crash=lambda report: self.loads.crashed(report),
+            on_crash=lambda report: self.crashes.seen(report),
             make_scheduler=self._make_scheduler,
             poison=self.poison,
         )
@@ -154,17 +162,23 @@
             clock=boot_clock,
             rng=self._rng,
             on_restart=self._upstream_restarted,
+            on_end=self._upstream_ended,
         )
         self.copies = CopyServer(
             [self.config.follower, self.directory.upstreams, self.directory.routers],
             clock=boot_clock,
         )
+        self.crashes = CrashController(
+            self.gossip,
+            self.poison,
+            self.exposures,
+            clock=self._clock,
+            on_news=self._poke,
+        )
         self.loads = LoadController(
             self.board,
-            self.gossip,
             self.pools,
             clock=self._clock,
-            on_news=self._poke,
             parent=lambda: self._position().parent,
             data_centre=settings.router.data_centre,
         )
@@ -203,6 +217,7 @@
             await self._start_servers(stack)
             self._tasks.start("pools", self.pools.run())
             self._tasks.start("loads", self.loads.run())
+            self._tasks.start("crashes", self.crashes.run())
             self._tasks.start("peers", self._talk(stack))
             self._tasks.start("gauges", self._measure())
             yield self
@@ -262,6 +277,7 @@
             placement=EnginePlacement() if engine else ServicePlacement(),
             budget=budget,
             closures=self.closures,
+            exposures=self.exposures,
         )
 
     def _upstream_restarted(self, name: str) -> None:
@@ -272,6 +288,11 @@
             if isinstance(placement, EnginePlacement):
                 placement.load(name).clear()
 
+    def _upstream_ended(self, host: Host) -> None:
+        """Count an end that the upstream had not announced."""
+        if not self.board.get(DeparturesSection).covers(host):
+            self.crashes.host_ended(host)
+
     def _routers(self) -> int:
         return max(1, len(self.board.get(HostsSection).routers()))
 
@@ -395,7 +416,7 @@
         return {name: routers[name].address for name in chosen}
 
     def _take_rows(self, rows: Sequence[Row]) -> None:
-        self.loads.take_rows(rows)
+        self.crashes.take_rows(rows)
         for row in rows:
             if row.topic == DEPARTURES_TOPIC:
                 self.departures.take_row(row.origin, row.payload)
--- a/shallotpoint/policy/admission.py
+++ b/shallotpoint/policy/admission.py
@@ -13,6 +13,7 @@
 
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
+END_KNOWN_S = 5.0  # whether a silent upstream has ended is known after this time
 
 
 def retry_after_s(wait_s: Seconds) -> Seconds:
@@ -43,8 +44,8 @@
 def assess(state: PoolState, ticket: Ticket, now: Seconds) -> Refused | Seconds:
     """Return why a request is not queued, or its estimated wait in seconds."""
     cls = ticket.service_class
-    if state.poison.blocked(ticket.fingerprint, now):
-        return Refused(Result.POISON, MAX_RETRY_AFTER_S)
+    if state.is_blocked(ticket.fingerprint, now):
+        return Refused(Result.POISON, blocked_for_s(state, ticket, now))
     if not any(not slots.draining for slots in state.upstreams.values()):
         return Refused(Result.NO_UPSTREAM, 1.0)
     opening_s = state.opening_s(now)
@@ -64,6 +65,13 @@
     return wait_s
 
 
+def blocked_for_s(state: PoolState, ticket: Ticket, now: Seconds) -> Seconds:
+    """Return when a blocked request may be told to return, in seconds."""
+    if state.poison.blocked(ticket.fingerprint, now):
+        return MAX_RETRY_AFTER_S
+    return END_KNOWN_S
+
+
 def can_wait_for(ticket: Ticket, opening_s: Seconds) -> bool:
     """Return whether a request may still wait when an upstream opens."""
     return ticket.expires_s is None or ticket.expires_s > opening_s
--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -15,7 +15,6 @@
 
 BLOCK_AFTER = 2  # distinct upstreams that one request crashed
 EXPIRY_S = 600.0  # many times the pause between two repeats of a caller
-CONFIRM_S = 1.5  # a crashed upstream is away for longer than this
 EXPIRE_EVERY_S = 1.0  # looking at all records costs time in a large fleet
 SICK_AFTER = 3  # distinct requests after which an upstream is itself to blame
 
@@ -42,41 +41,6 @@
         return Incarnation(self.upstream, self.started_ms)
 
 
-class CrashSuspicions:
-    """Tells a crash from an answer that was lost on a live upstream.
-
-    A connection that breaks shows either; only a crashed upstream cannot be
-    reached right afterwards.
-
-    Examples
-    --------
-    >>> seen = CrashSuspicions()
-    >>> seen.broke(7, "engine-1", now=0.0)
-    >>> [report.fingerprint for report in seen.unreachable("engine-1", now=0.4)]
-    [7]
-    >>> seen.unreachable("engine-1", now=0.5)
-    []
-    """
-
-    def __init__(self) -> None:
-        self._breaks: list[CrashReport] = []
-
-    def broke(self, fingerprint: int, upstream: str, now: Seconds) -> None:
-        """Note that a connection broke under a request."""
-        self._breaks = [b for b in self._breaks if now - b.at_s < CONFIRM_S]
-        self._breaks.append(CrashReport(fingerprint, upstream, now))
-
-    def unreachable(self, upstream: str, now: Seconds) -> list[CrashReport]:
-        """Return the breaks that an unreachable upstream shows to be crashes."""
-        crashes = [
-            b
-            for b in self._breaks
-            if b.upstream == upstream and now - b.at_s < CONFIRM_S
-        ]
-        self._breaks = [b for b in self._breaks if b.upstream != upstream]
-        return crashes
-
-
 @dataclass(slots=True)
 class _Record:
     """The ends of upstreams that one request was on, and when it last came."""
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -22,12 +22,13 @@
     Withdraw,
 )
 from shallotpoint.policy.closures import ClosureBook
+from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.placement import ByExpectedWait, Placement
 from shallotpoint.policy.poison import (
     SICK_AFTER,
     CrashReport,
-    CrashSuspicions,
+    Incarnation,
     PoisonBook,
 )
 from shallotpoint.policy.queueing import FairQueue
@@ -37,7 +38,7 @@
 from shallotpoint.policy.tuning import Tuning
 from shallotpoint.policy.verdicts import verdict_on_retry
 from shallotpoint.policy.view import PoolView
-from shallotpoint.results import NOT_REACHED, Result
+from shallotpoint.results import NOT_REACHED, NOT_RUN, Result
 from shallotpoint.types import Seconds
 
 PREPAID_TOKENS = 16  # charged when sent, so that one organisation is not sent all
@@ -61,6 +62,8 @@
         Retry budget that all routers share.
     closures : ClosureBook, optional
         Shared among the pools of a router.
+    exposures : ExposureBook, optional
+        Likewise; without it each broken connection counts as a crash.
 
     Examples
     --------
@@ -81,6 +84,7 @@
         placement: Placement | None = None,
         budget: WindowBudget | None = None,
         closures: ClosureBook | None = None,
+        exposures: ExposureBook | None = None,
     ):
         super().__init__(
             PoolState(tuning or Tuning(), poison or PoisonBook(sick_after=SICK_AFTER))
@@ -88,9 +92,9 @@
         if closures is not None:
             self._state.closures = closures
         self._state.shared_budget = budget
+        self._state.exposures = exposures
         self.placement: Placement = placement or ByExpectedWait()
         self.crash_reports: list[CrashReport] = []
-        self._suspicions = CrashSuspicions()
         self._expiries: list[tuple[Seconds, str]] = []
         self._swept_s: Seconds = -math.inf
         self._stalls_s: Seconds = -math.inf
@@ -159,7 +163,7 @@
         actions: list[Action] = []
         if leg.first_s is None:
             leg.first_s = now
-            self._state.poison.alive(leg.incarnation, leg.sent_s)
+            self._note_life(leg)
             self._state.starting.pop(ticket_id, None)
             self.health.answered(upstream, now - leg.sent_s, now)
             self.placement.answered(course, upstream, now)
@@ -200,6 +204,7 @@
             self._state.poison.answered(
                 course.ticket.fingerprint, leg.incarnation, leg.sent_s
             )
+            self._forget_exposure(course, leg)
             self._state.budget(course.ticket, upstream).succeed(now)
         self._end_legs(course, now)
         self._forget(course)
@@ -213,18 +218,27 @@
         now: Seconds,
         *,
         may_retry: bool = True,
+        is_gone: bool = False,
     ) -> Result | None:
         """Note a failed leg.
 
+        Parameters
+        ----------
+        is_gone : bool
+            Whether the failure proves that the upstream is no longer there.
+
         Returns
         -------
         Result or None
             The code to give up with, or None when the request goes on.
         """
         course = self.courses.get(ticket_id)
-        if course is None or course.leg_on(upstream) is None:
+        leg = course.leg_on(upstream) if course else None
+        if course is None or leg is None:
             return None
-        self._note_failure(course, upstream, reason, now)
+        self._note_failure(course, leg, reason, now)
+        if is_gone:
+            self._note_end(leg.incarnation, now)
         if reason not in NOT_REACHED:
             course.reached += 1
         self._end_leg(course, upstream, now)
@@ -373,6 +387,8 @@
         slots = self.upstreams[upstream]
         leg = Leg(upstream, sent_s=now, started_ms=slots.started_ms, hedge=hedge)
         course.legs.append(leg)
+        if self._state.exposures is not None:
+            self._state.exposures.begin(ticket.id, ticket.fingerprint, leg)
         course.tried.append(upstream)
         slots.running.add(ticket.id)
         if course.suspect:
@@ -439,22 +455,38 @@
 
     # Failures
 
-    def _note_failure(self, course, upstream: str, reason: Result, now) -> None:
-        self.health.failed(upstream, now)
-        self.placement.failed(course, upstream, reason, now)
-        fingerprint = course.ticket.fingerprint
-        confirm = self._state.tuning.confirm_crashes
-        if reason is Result.RETRY_CONNECT and confirm:
-            for report in self._suspicions.unreachable(upstream, now):
-                self._note_crash(report)
-        if reason not in (Result.RETRY_BROKE, Result.RETRY_CARRY_ON):
+    def _note_failure(
+        self, course: Course, leg: Leg, reason: Result, now: Seconds
+    ) -> None:
+        self.health.failed(leg.upstream, now)
+        self.placement.failed(course, leg.upstream, reason, now)
+        if reason in (Result.RETRY_REFUSED, Result.RETRY_ERROR):
+            self._note_life(leg)
+            self._forget_exposure(course, leg)
+        elif reason in NOT_RUN:
+            self._forget_exposure(course, leg)
+        if self._state.exposures is not None:
             return
-        if fingerprint and confirm:
-            self._suspicions.broke(fingerprint, upstream, now)
-        elif fingerprint:
-            self._note_crash(CrashReport(fingerprint, upstream, now))
+        fingerprint = course.ticket.fingerprint
+        if fingerprint and reason in (Result.RETRY_BROKE, Result.RETRY_CARRY_ON):
+            self._note_crash(CrashReport(fingerprint, leg.upstream, now))
             course.suspect = True
 
+    def _note_life(self, leg: Leg) -> None:
+        """Take an upstream's answer as a sign that it lived when it was asked."""
+        self._state.poison.alive(leg.incarnation, leg.sent_s)
+        if self._state.exposures is not None:
+            self._state.exposures.alive(leg.incarnation, leg.sent_s)
+
+    def _note_end(self, incarnation: Incarnation, now: Seconds) -> None:
+        if self._state.exposures is not None:
+            for report in self._state.exposures.ended(incarnation, now):
+                self._note_crash(report)
+
+    def _forget_exposure(self, course: Course, leg: Leg) -> None:
+        if self._state.exposures is not None:
+            self._state.exposures.forget(course.ticket.id, leg)
+
     def _note_crash(self, report: CrashReport) -> None:
         self._state.poison.crashed(report)
         self.crash_reports.append(report)
@@ -500,6 +532,10 @@
             return
         ticket = course.ticket
         course.legs.remove(leg)
+        if self._state.exposures is not None:
+            report = self._state.exposures.close(ticket.id, leg, now)
+            if report is not None:
+                self._note_crash(report)
         self.placement.ended(course, upstream, now)
         if not course.legs:
             self._state.starting.pop(ticket.id, None)
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -9,6 +9,7 @@
 from shallotpoint.policy.closures import ClosureBook
 from shallotpoint.policy.demand import Demand
 from shallotpoint.policy.dispatch import Candidate
+from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.health import HealthBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.poison import PoisonBook
@@ -72,6 +73,8 @@
         Slots held, by class.
     shared_budget : WindowBudget or None
         Replaces the budgets by class and upstream where all routers share one.
+    exposures : ExposureBook or None
+        Where it is kept, a crash counts once its upstream has shown to have ended.
     """
 
     tuning: Tuning
@@ -88,6 +91,7 @@
     starting: dict[str, None] = field(default_factory=dict)
     budgets: dict[tuple[str, str], RetryBudget] = field(default_factory=dict)
     shared_budget: WindowBudget | None = None
+    exposures: ExposureBook | None = None
 
     @property
     def waiting_count(self) -> int:
@@ -116,6 +120,17 @@
         """Return the upstreams on which this router has a slot left."""
         return [name for name, slots in self.upstreams.items() if slots.free]
 
+    def is_blocked(self, fingerprint: int, now: Seconds) -> bool:
+        """Return whether a request has ended too many upstreams to be sent again.
+
+        After the first end, upstreams that have not answered it count as well.
+        """
+        count = self.poison.count(fingerprint, now)
+        if count and self.exposures is not None:
+            unanswered = self.exposures.unanswered(fingerprint, now)
+            count += len(unanswered - self.poison.ends(fingerprint))
+        return count >= self.poison.block_after
+
     def mark_closed(self, now: Seconds) -> None:
         """Bring the marks of closed upstreams up to date."""
         for name, slots in self.upstreams.items():
--- a/shallotpoint/policy/tuning.py
+++ b/shallotpoint/policy/tuning.py
@@ -39,9 +39,6 @@
         Let work that gives way take reserved and capped slots.
     move_silent : bool
         Carry streams on elsewhere when their upstream falls silent.
-    confirm_crashes : bool
-        Count a broken connection as a crash only if the upstream cannot be
-        reached right afterwards.
     patient_probes : bool
         Try ejected upstreams out with patient work first.
     """
@@ -60,7 +57,6 @@
     patient_probes: bool = True
     fill_with_preemptible: bool = True
     move_silent: bool = True
-    confirm_crashes: bool = False
 
 
 ROUTES = Tuning(
@@ -71,6 +67,5 @@
     move_slow=False,
     affinity=False,
     health=False,
-    confirm_crashes=True,
 )
 """For pools behind routes: engines order by priority, the placement knows them."""
--- a/shallotpoint/policy/verdicts.py
+++ b/shallotpoint/policy/verdicts.py
@@ -28,7 +28,7 @@
     ticket = course.ticket
     sent = reason not in NOT_RUN
     broke = Result.STREAM_CUT if course.tokens else Result.UPSTREAM_BROKE
-    if state.poison.blocked(ticket.fingerprint, now):
+    if state.is_blocked(ticket.fingerprint, now):
         return Result.POISON
     if sent and not (may_retry and ticket.idempotent):
         return broke
--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -27,6 +27,7 @@
 from shallotpoint.metrics import Metrics
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.policy.configuration import Config
+from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.freshness import FreshnessRule
 from shallotpoint.policy.model import Organisation, Pool, PoolKind
 from shallotpoint.policy.retries import SharedBudget, WindowBudget
@@ -165,6 +166,8 @@
         write_config = board.claim(ConfigSection, "test")
         write_hosts = board.claim(HostsSection, "test")
 
+        exposures = ExposureBook()
+
         def make_scheduler(pool, poison) -> Scheduler:
             engine = pool.kind is PoolKind.ENGINE
             return Scheduler(
@@ -172,6 +175,7 @@
                 poison=poison,
                 placement=EnginePlacement() if engine else ServicePlacement(),
                 budget=WindowBudget(budget or SharedBudget(slack=100.0)),
+                exposures=exposures,
             )
 
         pools = PoolsController(
--- a/shallotpoint/tests/test_directory.py
+++ b/shallotpoint/tests/test_directory.py
@@ -44,6 +44,7 @@
             kv = MemoryKeyValue(clock=time.monotonic, rng=random.Random(1))
             board = Blackboard()
             restarted = []
+            self.ended = []
             controller = DirectoryController(
                 board,
                 sources=lambda: [kv],
@@ -53,6 +54,7 @@
                 clock=time.monotonic,
                 rng=random.Random(2),
                 on_restart=restarted.append,
+                on_end=lambda host: self.ended.append((host.name, host.started_ms)),
             )
             task = asyncio.create_task(controller.run())
             try:
@@ -103,6 +105,17 @@
 
         self.play(scenario)
 
+    def test_budget_end_that_only_the_list_shows_is_told(self):
+        # BUDGET: neither a start anew nor a lapsed entry was taken for an end.
+        async def scenario(kv, board, restarted):
+            await kv.txn([], [upstream("a", started=1), upstream("b", started=7)])
+            await eventually(lambda: len(board.get(HostsSection).members("p")) == 2)
+            await kv.txn([], [upstream("a", started=2)])
+            await kv.txn([], [Delete("u/b")])
+            await eventually(lambda: self.ended == [("a", 1), ("b", 7)])
+
+        self.play(scenario)
+
     def test_lapsed_registration_is_made_again(self):
         async def scenario(kv, board, restarted):
             registration = RouterRegistration(
--- /dev/null
+++ b/shallotpoint/tests/test_exposures.py
@@ -0,0 +1,241 @@
+"""Attempts that an upstream's end leaves unanswered, and what follows for repeats."""
+
+from shallotpoint.controllers.crash_news import CRASHES_TOPIC
+from shallotpoint.controllers.crashes import CrashController
+from shallotpoint.coordination.gossip import Board
+from shallotpoint.hashing import hash64
+from shallotpoint.platform_api.hosts import Host
+from shallotpoint.policy.actions import Refused
+from shallotpoint.policy.exposures import (
+    CONNECTED_S,
+    DOUBT_S,
+    KEPT_S,
+    PAST_BEGIN_S,
+    ExposureBook,
+)
+from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.poison import Incarnation, PoisonBook
+from shallotpoint.policy.route_placement import ServicePlacement
+from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.state import Slots
+from shallotpoint.policy.ticket import Leg, Ticket
+from shallotpoint.policy.tuning import ROUTES
+from shallotpoint.results import Result
+from shallotpoint.testing.cases import FakeClock, TestCase
+from shallotpoint.testing.ports import free_address
+from shallotpoint.testing.scripted_upstream import ScriptedUpstream
+from shallotpoint.tests.test_route_run import IDEMPOTENT, RouteCase, hang
+from shallotpoint.upstreams.bound import BoundClient
+from shallotpoint.upstreams.client import Outgoing, UpstreamFailure
+
+FATAL = 77
+U1 = Incarnation("u1", 5)
+
+
+class ExposureTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.book = ExposureBook()
+
+    def send(self, ticket="r1", content=FATAL, upstream="u1", at_s=0.0):
+        leg = Leg(upstream, sent_s=at_s, started_ms=5)
+        self.book.begin(ticket, content, leg)
+        return leg
+
+    def ended(self, now, incarnation=U1):
+        return [r.fingerprint for r in self.book.ended(incarnation, now)]
+
+    def test_open_and_closed_attempts_are_implicated_once(self):
+        self.send("r1", 1)
+        self.book.close("r2", self.send("r2", 2), now=1.0)
+        self.assertEqual([1, 2], sorted(self.ended(3.0)))
+        self.assertEqual([], self.ended(3.1))
+
+    def test_another_start_of_the_upstream_is_not_meant(self):
+        self.send()
+        self.assertEqual([], self.ended(3.0, Incarnation("u1", 6)))
+
+    def test_answered_attempt_is_not_implicated(self):
+        self.book.forget("r1", self.send())
+        self.assertEqual([], self.ended(3.0))
+
+    def test_stream_that_ran_for_a_while_is_not_implicated(self):
+        leg = self.send()
+        leg.first_s, leg.last_s = 0.1, 0.2 + PAST_BEGIN_S
+        self.assertEqual([], self.ended(3.0))
+
+    def test_upstream_that_answers_a_later_attempt_did_not_end_before(self):
+        leg = self.send()
+        self.book.close("r1", leg, now=1.0)
+        self.book.alive(U1, sent_s=0.5)
+        self.assertEqual({U1}, self.book.unanswered(FATAL, 1.1))
+        self.book.alive(U1, sent_s=1.2)
+        self.assertEqual([], self.ended(3.0))
+
+    def test_attempts_that_closed_long_ago_are_dropped(self):
+        self.book.close("r1", self.send(), now=1.0)
+        self.book.settle(1.5 + KEPT_S)
+        self.assertEqual(set(), self.book.unanswered(FATAL, 1.5 + KEPT_S))
+
+    def test_attempt_that_may_still_be_connecting_waits_for_its_outcome(self):
+        first, second = self.send("r1", 1, at_s=2.9), self.send("r2", 2, at_s=2.9)
+        self.assertEqual([], self.ended(3.0))
+        self.book.forget("r1", first)
+        report = self.book.close("r2", second, now=3.1)
+        self.assertEqual(
+            (2, "u1", 3.1), (report.fingerprint, report.upstream, report.at_s)
+        )
+        self.send("r3", 3, at_s=3.2)
+        self.assertEqual([], self.book.settle(3.3))
+        [report] = self.book.settle(3.3 + CONNECTED_S)
+        self.assertEqual(3, report.fingerprint)
+
+    def test_silent_attempt_is_in_doubt_after_a_while(self):
+        self.send()
+        self.assertEqual(set(), self.book.unanswered(FATAL, DOUBT_S - 0.1))
+        self.assertEqual({U1}, self.book.unanswered(FATAL, DOUBT_S + 0.1))
+
+
+class RepeatTests(TestCase):
+    """One router's scheduler before upstreams that end."""
+
+    def setUp(self):
+        super().setUp()
+        self.exposures = ExposureBook()
+        self.poison = PoisonBook(block_after=3)
+        self.scheduler = Scheduler(
+            tuning=ROUTES,
+            poison=self.poison,
+            placement=ServicePlacement(),
+            exposures=self.exposures,
+        )
+        self.scheduler.set_upstreams(
+            {f"u{n}": Slots(4, 4, started_ms=5) for n in range(8)}
+        )
+        self.count = 0
+
+    def offer(self, now, content=FATAL):
+        """Offer a request; return its id and upstream, or the refusal."""
+        self.count += 1
+        cls = ServiceClass("desk", 1)
+        ticket = Ticket(f"r{self.count}", cls, "school", now, fingerprint=content)
+        admission = self.scheduler.offer(ticket, now)
+        if isinstance(admission, Refused):
+            return admission
+        [send] = self.scheduler.poll(now)
+        return ticket.id, send.upstream
+
+    def end(self, upstream, now):
+        for report in self.exposures.ended(Incarnation(upstream, 5), now):
+            self.poison.crashed(report)
+
+    def test_budget_ends_that_are_learned_late(self):
+        # BUDGET: silent attempts end by their own time; the list tells later.
+        sent = []
+        for number in range(3):
+            ticket, upstream = self.offer(number * 0.5)
+            self.scheduler.abandon(ticket, number * 0.5 + 1.5)
+            self.scheduler.set_upstreams(
+                {n: s for n, s in self.scheduler.upstreams.items() if n != upstream}
+            )
+            sent.append(upstream)
+        self.end(sent[0], 3.6)
+        refused = self.offer(3.7)
+        self.assertIs(Result.POISON, refused.result)
+        for upstream in sent[1:]:
+            self.end(upstream, 4.6)
+        self.assertTrue(self.poison.blocked(FATAL, 4.7))
+
+    def test_late_answers_of_living_upstreams_block_nothing(self):
+        for number in range(6):
+            ticket, _ = self.offer(number * 0.5)
+            self.scheduler.abandon(ticket, number * 0.5 + 1.5)
+        self.assertNotIsInstance(self.offer(4.7), Refused)
+
+    def test_connect_that_takes_too_long_proves_no_end(self):
+        for number in range(6):
+            now = number * 0.5
+            ticket, upstream = self.offer(now)
+            self.scheduler.failed(
+                ticket, upstream, Result.RETRY_BROKE, now, may_retry=False
+            )
+            ticket, upstream = self.offer(now + 0.1, content=100 + number)
+            self.scheduler.failed(ticket, upstream, Result.RETRY_CONNECT, now + 0.2)
+            self.scheduler.abandon(ticket, now + 0.2)
+        self.assertEqual(0, self.poison.count(FATAL, 4.0))
+
+    def test_refused_connection_does(self):
+        upstreams = dict(self.scheduler.upstreams)
+        self.scheduler.set_upstreams({"u0": upstreams["u0"]})
+        ticket, upstream = self.offer(0.0)
+        self.scheduler.failed(
+            ticket, upstream, Result.RETRY_BROKE, 0.1, may_retry=False
+        )
+        self.assertEqual(0, self.poison.count(FATAL, 0.2))
+        ticket, upstream = self.offer(0.3, content=8)
+        self.scheduler.failed(ticket, upstream, Result.RETRY_CONNECT, 0.4, is_gone=True)
+        self.assertEqual(1, self.poison.count(FATAL, 0.5))
+        self.assertFalse(self.poison.suspected(8, 0.5))
+
+
+class ConnectionTests(RouteCase):
+    def connect(self, address):
+        async def main():
+            client = BoundClient()
+            outgoing = Outgoing("GET", "/", {}, b"")
+            try:
+                async with client.sending(
+                    "u1", address, outgoing, repeatable=True, timeout_s=1.0
+                ):
+                    return None
+            except UpstreamFailure as exc:
+                return exc.reason, exc.is_gone
+            finally:
+                await client.close()
+
+        return self.run_async(main())
+
+    def test_refused_connection_proves_that_the_upstream_is_gone(self):
+        found = self.connect(free_address())
+        self.assertEqual((Result.RETRY_CONNECT, True), found)
+
+    def test_silent_upstream_is_no_crash_by_itself(self):
+        async def scenario(fleet):
+            for number in range(3):
+                await fleet.ask(x_request_id=f"r{number}", x_time_left_ms="100")
+            return fleet.pools.poison.count(hash64(b"/desk/1\0school\0content"), 1e9)
+
+        behind = ScriptedUpstream(hang)
+        self.assertEqual(0, self.play(IDEMPOTENT, behind, scenario=scenario))
+
+
+class SharingTests(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = FakeClock()
+        self.news = []
+
+    def controller(self, name):
+        poison, exposures = PoisonBook(block_after=3), ExposureBook()
+        made = CrashController(
+            Board(name, 1),
+            poison,
+            exposures,
+            clock=self.clock,
+            on_news=lambda: self.news.append(name),
+        )
+        return made, poison, exposures
+
+    def test_peer_hears_of_an_end_and_counts_its_own_attempts_there(self):
+        one, one_poison, one_exposures = self.controller("one")
+        two, two_poison, two_exposures = self.controller("two")
+        self.clock.now = 3.0
+        one_exposures.begin("r1", FATAL, Leg("u1", 0.0, 5))
+        two_exposures.begin("r2", FATAL + 1, Leg("u1", 0.0, 5))
+        one.host_ended(Host("u1", "upstream", "10.0.0.1:1", "here", started_ms=5))
+        row = one._news._board.get("one", CRASHES_TOPIC)
+        two.take_rows([row])
+        self.assertEqual(1, two_poison.count(FATAL, self.clock.now))
+        self.assertEqual(1, two_poison.count(FATAL + 1, self.clock.now))
+        self.assertEqual(["one", "two"], self.news)
+        self.assertEqual(1, one_poison.count(FATAL, self.clock.now))
--- a/shallotpoint/tests/test_load_sums.py
+++ b/shallotpoint/tests/test_load_sums.py
@@ -6,7 +6,6 @@
 from shallotpoint.blackboard import Blackboard
 from shallotpoint.controllers.load_sharing import LoadController
 from shallotpoint.controllers.sections import CreditsSection, HostsSection
-from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.tree import position
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.policy.engine_load import PeerLoad
@@ -56,10 +55,8 @@
         self.boards[name] = board
         return LoadController(
             board,
-            Board(name, 1),
             FakePools(running),
             clock=self.clock,
-            on_news=lambda: None,
             parent=lambda: self.positions[name].parent,
             data_centre=self.routers[name],
         )
--- a/shallotpoint/upstreams/client.py
+++ b/shallotpoint/upstreams/client.py
@@ -29,10 +29,13 @@
     ----------
     reason : Result
         Those of :data:`~shallotpoint.results.NOT_RUN` say that nothing ran.
+    is_gone : bool
+        Whether the failure proves that the upstream is no longer at its address.
     """
 
-    def __init__(self, reason: Result, message: str):
+    def __init__(self, reason: Result, message: str, *, is_gone: bool = False):
         self.reason = reason
+        self.is_gone = is_gone
         super().__init__(message)
 
     @property
@@ -170,8 +173,11 @@
     try:
         yield
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        cause = getattr(exc, "os_error", None)
         raise UpstreamFailure(
-            Result.RETRY_CONNECT, f"{address} cannot be reached: {exc}"
+            Result.RETRY_CONNECT,
+            f"{address} cannot be reached: {exc}",
+            is_gone=isinstance(cause, ConnectionRefusedError),
         ) from exc
     except TimeoutError as exc:
         raise UpstreamFailure(
