Crash reports outlive the routers that saw them: they are kept in the key-value service

Cause: what was counted lived in routers' processes and their gossip. Each router now writes, a second after an end, which contents it left unanswered: one entry an end under a lease of ten minutes, written again if the service loses it while it still holds, and not written for what was answered meanwhile. It is read with the list of routers, so that no call is added where nothing ends. Not covered: what is in flight at the loss of all routers is not counted, at most one end a loss.

--- a/shallotpoint/controllers/crashes.py
+++ b/shallotpoint/controllers/crashes.py
@@ -1,17 +1,21 @@
 """What routers know of requests that end upstreams, from all that shows an end.
 
 An end shows itself to a router by a refused connection, by another upstream at the
-address, or by the list of hosts, and to the others by a peer's row.
+address, or by the list of hosts, and to the others by a peer's row.  Reports are kept
+in the key-value service too, as routers may all end at once.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+import random
+from collections.abc import Callable, Mapping, Sequence
 
+from shallotpoint.controllers.crash_archive import CrashArchive
 from shallotpoint.controllers.crash_news import CRASHES_TOPIC, CrashNews, read_crashes
 from shallotpoint.coordination.gossip import Board, Row
+from shallotpoint.coordination.kv import Entry, KeyValue
 from shallotpoint.hashing import content_name
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.policy.exposures import ExposureBook
@@ -28,6 +32,8 @@
 
     Parameters
     ----------
+    kv : KeyValue
+        Where reports are kept, under ``prefix``.
     on_news : Callable
         Called when peers should hear of an end.
     """
@@ -38,7 +44,10 @@
         poison: PoisonBook,
         exposures: ExposureBook,
         *,
+        kv: KeyValue,
+        prefix: str,
         clock: Clock,
+        rng: random.Random,
         on_news: Callable[[], None],
     ):
         self._name = gossip.name
@@ -47,9 +56,24 @@
         self._exposures = exposures
         self._clock = clock
         self._on_news = on_news
+        self._archive = CrashArchive(
+            kv,
+            prefix,
+            gossip.name,
+            clock=clock,
+            rng=rng,
+            is_current=poison.holds,
+            on_report=self._hear,
+        )
 
     async def run(self) -> None:
-        """Count what time shows to have been on an ended upstream, until cancelled."""
+        """Count and keep what was on ended upstreams, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._archive.run())
+            group.create_task(self._settle())
+
+    async def _settle(self) -> None:
+        """Count what time shows to have been on an ended upstream."""
         while True:
             await asyncio.sleep(TICK_S)
             self._count(self._exposures.settle(self._clock()))
@@ -70,6 +94,10 @@
                 for report in read_crashes(row.payload, now=now):
                     self._hear(report, row.origin)
 
+    def take_entries(self, entries: Mapping[str, Entry]) -> None:
+        """Take in what the key-value service keeps."""
+        self._archive.take(entries)
+
     def _hear(self, report: CrashReport, source: str) -> None:
         if self._poison.crashed(report):
             _log_crash(report, source, self._clock())
@@ -100,6 +128,7 @@
             _log_crash(report, self._name, now)
         if reports:
             self._news.add(reports, now=now)
+            self._archive.add(reports, now)
             self._on_news()
 
 
--- a/shallotpoint/controllers/directory.py
+++ b/shallotpoint/controllers/directory.py
@@ -61,6 +61,8 @@
         Where the lists come from, the preferred source first.
     upstream_prefix, router_prefix : str
         Where upstreams and routers are listed.
+    shared_prefix : str, optional
+        A start of ``router_prefix`` under which routers keep more than that.
     read_upstream : Callable
         Reads an upstream's entry; raises :class:`UnreadableEntry`.
     on_restart : Callable
@@ -68,6 +70,8 @@
     on_end : Callable
         Called with the last entry of an upstream that is no longer listed without
         having said that it leaves, or that started anew.
+    on_shared : Callable
+        Called with all entries under ``shared_prefix``.
     """
 
     def __init__(
@@ -82,10 +86,13 @@
         rng: random.Random,
         on_restart: Callable[[str], None] = lambda upstream: None,
         on_end: Callable[[Host], None] = lambda host: None,
+        shared_prefix: str | None = None,
+        on_shared: Callable[[Mapping[str, Entry]], None] = lambda entries: None,
     ):
         self._read_upstream = read_upstream
         self._on_restart = on_restart
         self._on_end = on_end
+        self._on_shared = on_shared
         self._upstreams: dict[str, Host] = {}
         self._routers: dict[str, Host] = {}
         self._read: dict[str, tuple[bytes, Host | None]] = {}
@@ -104,10 +111,10 @@
         )
         self.routers = PrefixFollower(
             sources,
-            router_prefix,
+            shared_prefix or router_prefix,
             clock=clock,
             rng=rng,
-            on_change=self._take_routers,
+            on_change=self._take_shared,
             wait_s=ROUTER_POLL_S,
             settle_s=ROUTER_SETTLE_S,
             grace_s=ROUTER_GRACE_S,
@@ -145,9 +152,15 @@
         self._read[name] = known
         return known[1]
 
+    def _take_shared(self, entries: Mapping[str, Entry]) -> None:
+        self._take_routers(entries)
+        self._on_shared(entries)
+
     def _take_routers(self, entries: Mapping[str, Entry]) -> None:
         routers = {}
         for key, entry in entries.items():
+            if not key.startswith(self._router_prefix):
+                continue
             name = key.removeprefix(self._router_prefix)
             try:
                 known = msgspec.json.decode(entry.value, type=_RouterEntry)
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -85,8 +85,10 @@
 
     Attributes
     ----------
-    config_key, upstream_prefix, router_prefix, secret_key : str
-        Places in the key-value service.
+    config_key, upstream_prefix : str
+        Places in the key-value service that others write.
+    shared_prefix : str
+        What routers keep there themselves.
     """
 
     kv: PolledKeyValue
@@ -95,8 +97,22 @@
     dialect: Dialect
     config_key: str
     upstream_prefix: str
-    router_prefix: str
-    secret_key: str
+    shared_prefix: str
+
+    @property
+    def router_prefix(self) -> str:
+        """Where routers are listed."""
+        return f"{self.shared_prefix}routers/"
+
+    @property
+    def crash_prefix(self) -> str:
+        """Where crash reports are kept."""
+        return f"{self.shared_prefix}crashes/"
+
+    @property
+    def secret_key(self) -> str:
+        """Where the secret of the peers is kept."""
+        return f"{self.shared_prefix}secret"
 
 
 def boot_clock() -> Seconds:
@@ -158,11 +174,13 @@
             sources=self._sources,
             upstream_prefix=edges.upstream_prefix,
             router_prefix=edges.router_prefix,
+            shared_prefix=edges.shared_prefix,
             read_upstream=edges.read_upstream,
             clock=boot_clock,
             rng=self._rng,
             on_restart=self._upstream_restarted,
             on_end=self._upstream_ended,
+            on_shared=lambda entries: self.crashes.take_entries(entries),
         )
         self.copies = CopyServer(
             [self.config.follower, self.directory.upstreams, self.directory.routers],
@@ -172,7 +190,10 @@
             self.gossip,
             self.poison,
             self.exposures,
+            kv=edges.kv,
+            prefix=edges.crash_prefix,
             clock=self._clock,
+            rng=self._rng,
             on_news=self._poke,
         )
         self.loads = LoadController(
--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -100,7 +100,7 @@
             return False
         record = self._records.setdefault(fingerprint, _Record())
         is_new = end not in record.ends
-        record.ends[end] = report.at_s
+        record.ends[end] = min(report.at_s, record.ends.get(end, math.inf))
         record.seen_s = max(record.seen_s, report.at_s)
         self._on.setdefault(end, set()).add(fingerprint)
         return is_new
--- a/shallotpoint/tests/test_exposures.py
+++ b/shallotpoint/tests/test_exposures.py
@@ -1,8 +1,13 @@
 """Attempts that an upstream's end leaves unanswered, and what follows for repeats."""
 
+import random
+
+from shallotpoint.controllers.crash_archive import SETTLE_S
 from shallotpoint.controllers.crash_news import CRASHES_TOPIC
 from shallotpoint.controllers.crashes import CrashController
 from shallotpoint.coordination.gossip import Board
+from shallotpoint.coordination.kv import Entry
+from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.hashing import hash64
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.policy.actions import Refused
@@ -213,6 +218,7 @@
     def setUp(self):
         super().setUp()
         self.clock = FakeClock()
+        self.kv = MemoryKeyValue(clock=self.clock, rng=random.Random(1))
         self.news = []
 
     def controller(self, name):
@@ -221,7 +227,10 @@
             Board(name, 1),
             poison,
             exposures,
+            kv=self.kv,
+            prefix="crashes/",
             clock=self.clock,
+            rng=random.Random(1),
             on_news=lambda: self.news.append(name),
         )
         return made, poison, exposures
@@ -239,3 +248,68 @@
         self.assertEqual(1, two_poison.count(FATAL + 1, self.clock.now))
         self.assertEqual(["one", "two"], self.news)
         self.assertEqual(1, one_poison.count(FATAL, self.clock.now))
+
+    def test_budget_all_routers_ended_since(self):
+        # BUDGET: what was counted lived in routers' processes alone.
+        one, _, exposures = self.controller("one")
+        self.clock.now = 3.0
+        for number, content in enumerate((FATAL, FATAL, FATAL)):
+            exposures.begin(f"r{number}", content, Leg(f"u{number}", 0.0, 5))
+            one.host_ended(Host(f"u{number}", "upstream", "", "here", started_ms=5))
+        self.clock.now += SETTLE_S
+        self.run_async(one._archive._write(one._archive._due(self.clock.now)))
+        two, poison, _ = self.controller("one")
+        two.take_entries({e.key: e for e in self.listing()})
+        self.assertTrue(poison.blocked(FATAL, self.clock.now))
+
+    def test_request_that_was_answered_meanwhile_is_not_kept(self):
+        one, poison, exposures = self.controller("one")
+        self.clock.now = 3.0
+        exposures.begin("r1", FATAL, Leg("u1", 0.0, 5))
+        one.host_ended(Host("u1", "upstream", "", "here", started_ms=5))
+        poison.answered(FATAL, Incarnation("u2", 5), sent_s=3.2)
+        self.assertEqual({}, one._archive._due(self.clock.now + SETTLE_S))
+
+    def test_entry_that_the_service_lost_is_written_again(self):
+        one, _, exposures = self.controller("one")
+        self.clock.now = 3.0
+        exposures.begin("r1", FATAL, Leg("u1", 0.0, 5))
+        one.host_ended(Host("u1", "upstream", "", "here", started_ms=5))
+        archive = one._archive
+        self.clock.now += SETTLE_S
+        self.run_async(archive._write(archive._due(self.clock.now)))
+        one.take_entries({e.key: e for e in self.listing()})
+        self.clock.now += 10.0
+        self.assertEqual({}, archive._due(self.clock.now))
+        one.take_entries({})
+        self.assertEqual([Incarnation("u1", 5)], list(archive._due(self.clock.now)))
+
+    def test_write_that_fails_is_tried_again(self):
+        one, _, exposures = self.controller("one")
+        self.clock.now = 3.0
+        exposures.begin("r1", FATAL, Leg("u1", 0.0, 5))
+        one.host_ended(Host("u1", "upstream", "", "here", started_ms=5))
+        self.kv.faults.down = True
+        self.clock.now += SETTLE_S
+        self.run_async(one._archive._write(one._archive._due(self.clock.now)))
+        self.assertEqual({}, one._archive._due(self.clock.now))
+        self.clock.now += 10.0
+        self.assertEqual(1, len(one._archive._due(self.clock.now)))
+
+    def test_unreadable_entries_are_passed_over(self):
+        two, poison, _ = self.controller("two")
+        two.take_entries(
+            {
+                key: Entry(key, raw, 1)
+                for key, raw in (
+                    ("crashes/u1/5/one", b"\xff"),
+                    ("crashes/u1/x/one", b"[77]"),
+                    ("routers/one", b"{}"),
+                    ("crashes/u2/5/one", b"[77]"),
+                )
+            }
+        )
+        self.assertEqual(1, poison.count(FATAL, self.clock.now))
+
+    def listing(self):
+        return self.kv.store.list_prefix("crashes/").entries
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -62,8 +62,7 @@
         dialect=PlainDialect(),
         config_key="config",
         upstream_prefix="u/",
-        router_prefix="r/",
-        secret_key="secret",
+        shared_prefix="shared/",
     )
     made = RouteRouter(settings(name, **options), edges, seed=1)
     async with made.running():
