--- a/shallotpoint/callers/exchange.py
+++ b/shallotpoint/callers/exchange.py
@@ -39,6 +39,8 @@
     ----------
     closes : bool
         Whether the connection ends with this answer.
+    place : str
+        The caller's connection and the request's number on it, for logs.
     """
 
     def __init__(self, scope: Any, receive: Any, send: Any, request_id: str):
@@ -46,6 +48,7 @@
         self.request_id = request_id
         self.started = False
         self.closes = False
+        self.place: str = scope.get("place", "")
         self._receive = receive
         self._send = send
         self._headers = dict(scope["headers"])
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -152,6 +152,7 @@
             extra={
                 "request": self.ticket.id,
                 "content": content_name(self.ticket.fingerprint),
+                "connection": self.exchange.place,
                 "pool": self.pool.pool.name,
                 "upstream": upstream,
                 "attempt": self.attempts,
@@ -323,6 +324,8 @@
         now = time.monotonic()
         facts = {
             "total_s": round(now - self.ticket.arrived_s, 4),
+            "connection": self.exchange.place,
+            "answer_begun": self.exchange.started,
             "attempts": self.attempts,
             "events": self.log.tokens,
             **self.end_facts(),
--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import functools
+import itertools
+import logging
 import socket
 import ssl
 from collections.abc import AsyncIterator
@@ -20,6 +22,9 @@
 KEEP_ALIVE_S = 75.0  # for callers without a configured limit
 HEAD_S = 10.0  # likewise; many times the travel of a request's head
 
+_numbers = itertools.count(1)
+_log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class ConnectionLimits:
@@ -38,12 +43,18 @@
 
 
 class _LimitedProtocol(HttpToolsProtocol):
-    """Ends connections that are idle, or slow with a request's head, for too long."""
+    """Ends connections that are idle, or slow with a request's head, for too long.
+
+    The scope of each request names its place: the connection's number in this
+    process and the request's on it, as ``12.3``.
+    """
 
     def __init__(self, *args: Any, limits: ConnectionLimits, **options: Any):
         super().__init__(*args, **options)
         self._limits = limits
         self._head_timer: asyncio.TimerHandle | None = None
+        self._number = next(_numbers)
+        self._requests = 0
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -55,6 +66,17 @@
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
+        self._requests += 1
+        self.scope["place"] = f"{self._number}.{self._requests}"  # type: ignore
+        if self.cycle is not None and not self.cycle.response_complete:
+            _log.info(
+                "request before the last answer",
+                extra={
+                    "connection": self.scope["place"],  # type: ignore
+                    "client": str(self.client),
+                    "begun": self.cycle.response_started,
+                },
+            )
         self._expect_head(self._limits.head_s)
 
     def on_headers_complete(self) -> None:
