A router that has just started serves once it has read which requests are blocked

Cause: the list of what routers keep is read beside the configuration, and requests were taken as soon as the latter was there. Requests before are refused as not run, and the router is not ready. The test fails without the change.

--- a/shallotpoint/callers/routes.py
+++ b/shallotpoint/callers/routes.py
@@ -65,6 +65,9 @@
         Time until a planned stop ends, in seconds; None while none has begun.
         Connections then end with their answer, and only requests that surely end
         before the router does are taken.
+    informed : Callable
+        Returns whether what routers keep in the key-value service was read once;
+        before that nobody knows which requests are blocked.
     """
 
     board: Blackboard
@@ -73,6 +76,7 @@
     keys: KeyView
     stop_left_s: Callable[[], Seconds | None]
     ids: Callable[[], str]
+    informed: Callable[[], bool] = lambda: True
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one request."""
@@ -114,7 +118,7 @@
 
     def _config(self) -> Config:
         config = self.board.get(ConfigSection).config
-        if not config.version:
+        if not config.version or not self.informed():
             raise RequestError(Result.NOT_CONFIGURED, retry_after_s=0.5)
         return config
 
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -248,7 +248,7 @@
         if self.board.get(StopSection).stopping:
             return False
         config = self.board.get(ConfigSection).config
-        if not config.version:
+        if not config.version or not self._is_informed():
             return False
         return not config.routing.needs_keys or self.keys.is_current()
 
@@ -286,6 +286,10 @@
             budget.shared = _shared_budget(bounds)
         _log.info("bounds changed", extra={"withdrawn_ms": bounds.withdrawn_ms})
 
+    def _is_informed(self) -> bool:
+        """Return whether what routers keep in the service was read once."""
+        return self.directory.routers.copy.confirmed_s is not None
+
     # Construction
 
     def _make_scheduler(self, pool: Pool, poison: PoisonBook) -> Scheduler:
@@ -333,6 +337,7 @@
             keys=self.keys,
             stop_left_s=self.stop_left_s,
             ids=request_ids(),
+            informed=self._is_informed,
         )
         balancer = BalancerApp(self.ready, services)
         await self._serve(stack, balancer, self.settings.listen.balancer)
--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -121,6 +121,8 @@
         Age of the router's view of the keys, in seconds.
     stop_left_s : float or None
         Time until a planned stop ends, None while none has begun.
+    informed : bool
+        Whether what routers keep in the key-value service was read.
     """
 
     board: Blackboard
@@ -131,6 +133,7 @@
     url: str = ""
     age_s: Seconds | None = 0.0
     stop_left_s: Seconds | None = None
+    informed: bool = True
     hosts: dict[str, Host] = field(default_factory=dict)
 
     async def ask(
@@ -206,6 +209,7 @@
             keys=KeyView(FreshnessRule, lambda now: fleet.age_s, time.monotonic),
             stop_left_s=lambda: fleet.stop_left_s,
             ids=request_ids(),
+            informed=lambda: fleet.informed,
         )
         ticking = asyncio.create_task(pools.run())
         stack.callback(ticking.cancel)
--- a/shallotpoint/tests/test_exposures.py
+++ b/shallotpoint/tests/test_exposures.py
@@ -214,6 +214,23 @@
         self.assertEqual(0, self.play(IDEMPOTENT, behind, scenario=scenario))
 
 
+class StartTests(RouteCase):
+    def test_budget_repeat_meets_a_router_that_has_just_started(self):
+        # BUDGET: served before it had read which requests are blocked.
+        async def scenario(fleet):
+            fleet.informed = False
+            refused = await fleet.ask()
+            fleet.informed = True
+            return refused, await fleet.ask(x_request_id="r2")
+
+        behind = ScriptedUpstream()
+        (status, _, headers), (served, _, _) = self.play(
+            IDEMPOTENT, behind, scenario=scenario
+        )
+        self.assertEqual((503, 200, 1), (status, served, len(behind.received)))
+        self.assertIn("retry-after", headers)
+
+
 class SharingTests(TestCase):
     def setUp(self):
         super().setUp()
