A restart or a lapsed list does not renew what all routers together may send again

Callers would see services under more repeats than promised (BUDGET). The slack is a router's own once a whole window has passed since its start, and routers that the list loses count for another minute. Traffic that begins later than that after the start loses nothing. Tests are new.

--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -143,6 +143,7 @@
         self.journal = Journal()
         self._rng = random.Random(seed)
         self._clock = time.monotonic
+        self._started_s = self._clock()
         self._incarnation = time.time_ns() // 1_000_000
         self._stopping = self.board.claim(StopSection, "router")
         self._budgets: list[WindowBudget] = []
@@ -293,7 +294,11 @@
     # Construction
 
     def _make_scheduler(self, pool: Pool, poison: PoisonBook) -> Scheduler:
-        budget = WindowBudget(_shared_budget(self.bounds), routers=self._routers())
+        budget = WindowBudget(
+            _shared_budget(self.bounds),
+            routers=self._routers(),
+            started_s=self._started_s,
+        )
         self._budgets.append(budget)
         engine = pool.kind is PoolKind.ENGINE
         return Scheduler(
@@ -323,7 +328,7 @@
 
     def _hosts_changed(self, hosts: HostsSection) -> None:
         for budget in self._budgets:
-            budget.routers = self._routers()
+            budget.set_routers(self._routers(), self._clock())
         self.client.keep(h.name for h in hosts.hosts)
 
     async def _start_servers(self, stack: contextlib.AsyncExitStack) -> None:
--- a/shallotpoint/policy/retries.py
+++ b/shallotpoint/policy/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
 DEPOSIT = 0.1  # retries earned by one success
 CAPACITY = 10.0  # most retries that can be saved up
 FLOOR_PER_S = 0.2  # retries allowed per second without any success
+FEWER_AFTER_S = 60.0  # routers that the list lost have renewed or are gone by then
 
 
 class RetryBudget:
@@ -92,6 +94,16 @@
 class WindowBudget:
     """One router's part of a :class:`SharedBudget`, over a sliding window.
 
+    What a process spent is not known to the one that follows it, so the slack is
+    its own only once a whole window has passed since its start.
+
+    Parameters
+    ----------
+    routers : int
+        Routers that share the budget.
+    started_s : float
+        When the process started, in seconds.
+
     Examples
     --------
     >>> budget = WindowBudget(SharedBudget(slack=2.0, margin=1.0), routers=2)
@@ -105,12 +117,29 @@
     True
     """
 
-    def __init__(self, shared: SharedBudget, *, routers: int = 1):
+    def __init__(
+        self,
+        shared: SharedBudget,
+        *,
+        routers: int = 1,
+        started_s: Seconds = -math.inf,
+    ):
         self.shared = shared
-        self.routers = routers
+        self.started_s = started_s
+        self._routers = routers
+        self._were: deque[tuple[Seconds, int]] = deque()
         self._requests: deque[Seconds] = deque()
         self._repeats: deque[Seconds] = deque()
 
+    def set_routers(self, count: int, now: Seconds) -> None:
+        """Take over how many routers are listed; fewer hold after a while.
+
+        A list that lapses with an outage does not end the routers on it.
+        """
+        if count != self._routers:
+            self._were.append((now + FEWER_AFTER_S, self._routers))
+            self._routers = count
+
     def request(self, now: Seconds) -> None:
         """Count a new request."""
         self._requests.append(now)
@@ -124,12 +153,18 @@
         self._forget(now)
         shared = self.shared
         allowed = shared.ratio * len(self._requests)
-        allowed += shared.slack / max(1, self.routers)
+        if now - self.started_s >= shared.window_s:
+            allowed += shared.slack / self._sharers(now)
         if len(self._repeats) + 1 > allowed * shared.margin:
             return False
         self._repeats.append(now)
         return True
 
+    def _sharers(self, now: Seconds) -> int:
+        while self._were and self._were[0][0] <= now:
+            self._were.popleft()
+        return max(1, self._routers, *(count for _, count in self._were))
+
     def _forget(self, now: Seconds) -> None:
         for times in (self._requests, self._repeats):
             while times and times[0] < now - self.shared.window_s:
--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 import aiohttp
@@ -162,8 +162,12 @@
     *upstreams: ScriptedUpstream,
     kind: PoolKind = PoolKind.SERVICE,
     budget: SharedBudget | None = None,
+    more: Sequence[Route] = (),
 ) -> AsyncIterator[RoutedFleet]:
-    """Run a router before upstreams named ``u1``, ``u2`` and so on."""
+    """Run a router before upstreams named ``u1``, ``u2`` and so on.
+
+    ``more`` are further routes, to the same pool.
+    """
     async with contextlib.AsyncExitStack() as stack:
         board = Blackboard()
         write_config = board.claim(ConfigSection, "test")
@@ -196,7 +200,9 @@
             name = f"u{number}"
             hosts.append(Host(name, "upstream", address, "here", pool="desk", slots=4))
         write_hosts(HostsSection(tuple(hosts)))
-        write_config(ConfigSection(ConfigState(), config_of(the_route, kind)))
+        write_config(
+            ConfigSection(ConfigState(), config_of(the_route, kind, more=more))
+        )
         client = BoundClient()
         stack.push_async_callback(client.close)
         session = await stack.enter_async_context(aiohttp.ClientSession())
@@ -219,15 +225,19 @@
 
 
 def config_of(
-    the_route: Route, kind: PoolKind = PoolKind.SERVICE, *, version: int = 1
+    the_route: Route,
+    kind: PoolKind = PoolKind.SERVICE,
+    *,
+    version: int = 1,
+    more: Sequence[Route] = (),
 ) -> Config:
-    """Return a configuration of one route, one pool and one organisation."""
+    """Return a configuration of routes, one pool and one organisation."""
     return Config(
         version=version,
-        classes={the_route.name: class_of(the_route, None)},
+        classes={r.name: class_of(r, None) for r in (the_route, *more)},
         pools={"desk": Pool("desk", kind, slots=4, discovered=True)},
         organisations={"school": Organisation("school", hash_key(KEY))},
         routing=Routing(
-            RouteTable([the_route]), {hash_key(KEY): "school"}, needs_keys=True
+            RouteTable([the_route, *more]), {hash_key(KEY): "school"}, needs_keys=True
         ),
     )
--- /dev/null
+++ b/shallotpoint/tests/test_retries.py
@@ -0,0 +1,59 @@
+"""What routers may send again, all together."""
+
+from shallotpoint.policy.retries import SharedBudget, WindowBudget
+from shallotpoint.testing.cases import TestCase
+
+SHARED = SharedBudget(ratio=0.2, slack=60.0, window_s=10.0)
+ROUTERS = 6
+
+
+def spent(budget, now):
+    """Spend all that there is; return how much it was."""
+    count = 0
+    while budget.spend(now):
+        count += 1
+    return count
+
+
+class AllowanceTests(TestCase):
+    def total_allowed(self, requests):
+        return SHARED.ratio * requests + SHARED.slack
+
+    def test_budget_all_routers_start_anew_within_a_window(self):
+        # BUDGET: the allowance was spent, died with the processes, and was spent again.
+        count, requests = 0, 0
+        for start_s in (0.0, 4.0, 8.0):
+            for _ in range(ROUTERS):
+                budget = WindowBudget(SHARED, routers=ROUTERS, started_s=start_s)
+                if start_s == 0.0:
+                    budget.started_s = -SHARED.window_s
+                for _ in range(10):
+                    budget.request(start_s + 1.0)
+                requests += 10
+                count += spent(budget, start_s + 1.5)
+        self.assertLessEqual(count, self.total_allowed(requests))
+        self.assertGreater(count, 0)
+
+    def test_budget_list_of_routers_lapses(self):
+        # BUDGET: a router that sees no other took the whole allowance for its own.
+        count = 0
+        for _ in range(ROUTERS):
+            budget = WindowBudget(SHARED, routers=ROUTERS)
+            budget.set_routers(1, 5.0)
+            count += spent(budget, 6.0)
+        self.assertLessEqual(count, SHARED.slack)
+
+    def test_router_that_stays_alone_has_the_whole_allowance_in_time(self):
+        budget = WindowBudget(SHARED, routers=ROUTERS)
+        budget.set_routers(1, 5.0)
+        self.assertGreater(spent(budget, 80.0), SHARED.slack / 2)
+
+    def test_more_routers_count_at_once(self):
+        budget = WindowBudget(SHARED, routers=1)
+        budget.set_routers(ROUTERS, 5.0)
+        self.assertLessEqual(spent(budget, 5.0), SHARED.slack / ROUTERS)
+
+    def test_slack_comes_a_window_after_the_start(self):
+        budget = WindowBudget(SHARED, started_s=0.0)
+        self.assertEqual(0, spent(budget, 9.0))
+        self.assertGreater(spent(budget, 11.0), 0)
