A caller that leaves with two requests on its connection ends both

Callers saw nothing; upstreams worked on for nobody (GONE). Cause: when a connection is lost the HTTP server tells the last request on it only, so that the one in work before it ran to its end. Tried and reverted: to close a connection as soon as a second request begins; test_slow_second_head_does_not_cut_the_answer_to_the_first forbids that, rightly.

--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -14,7 +14,10 @@
 from typing import Any, cast
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from shallotpoint.types import Seconds
 
@@ -55,6 +58,7 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._number = next(_numbers)
         self._requests = 0
+        self._unanswered: list[RequestResponseCycle] = []
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -62,6 +66,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._head_came()
+        for cycle in self._unanswered:  # the server itself tells the last one only
+            if not cycle.response_complete:
+                cycle.disconnected = True
+                cycle.message_event.set()
         super().connection_lost(exc)
 
     def on_message_begin(self) -> None:
@@ -83,6 +91,8 @@
         self._head_came()
         self.timeout_keep_alive = self._limits.idle_s  # type: ignore[assignment]
         super().on_headers_complete()
+        waiting = [c for c in self._unanswered if not c.response_complete]
+        self._unanswered = [*waiting, self.cycle]
 
     def _expect_head(self, within_s: Seconds) -> None:
         self._head_came()
--- a/shallotpoint/tests/test_caller_connections.py
+++ b/shallotpoint/tests/test_caller_connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 from dataclasses import dataclass
 
@@ -12,9 +13,10 @@
 from hypothesis import HealthCheck, given, settings, strategies as st
 
 from shallotpoint.policy.routes import RouteKind
+from shallotpoint.testing.cases import eventually
 from shallotpoint.testing.routing import HOST, KEY, route, routed
 from shallotpoint.testing.scripted_upstream import Line, ScriptedUpstream, event
-from shallotpoint.tests.test_route_run import RouteCase
+from shallotpoint.tests.test_route_run import RouteCase, hang
 
 EXAMPLES = int(os.environ.get("SHALLOTPOINT_EXAMPLES", "40"))
 QUIET_S = 0.35  # beyond the longest time of a request, so that nothing is under way
@@ -70,6 +72,11 @@
 
 async def behave(line: Line) -> None:
     """Answer as the request asks for."""
+    with contextlib.suppress(RuntimeError):  # uvloop's word for a closed connection
+        await _behave(line)
+
+
+async def _behave(line: Line) -> None:
     mode = line.request.headers["x-mode"]
     name = line.request.headers["x-request-id"]
     if mode == "reset":
@@ -175,9 +182,10 @@
                 left -= len(raw)
                 step = -(-len(raw) // request.parts) or 1
                 for start in range(0, len(raw), step):
-                    writer.write(raw[start : start + step])
+                    if not writer.transport.is_closing():
+                        writer.write(raw[start : start + step])
                     await asyncio.sleep(0.001)
-                if left <= 0:
+                if left <= 0 or writer.transport.is_closing():
                     break
                 if request.waits:
                     await self.answered(answers, number + 1, reading)
@@ -196,9 +204,26 @@
         }
         return answers.whole, bodies
 
+    def test_gone_caller_with_two_requests_on_its_connection(self):
+        # GONE: only the last request was told that its caller had closed.
+        async def scenario():
+            hanging = ScriptedUpstream(hang)
+            async with routed(route(RouteKind.IDEMPOTENT), hanging) as fleet:
+                host, _, port = fleet.url.removeprefix("http://").rpartition(":")
+                _, writer = await asyncio.open_connection(host, int(port))
+                first = Sent("whole", False, False, 1, False, 10, 3_000)
+                writer.write(written(0, first) + written(1, first))
+                await eventually(lambda: hanging.received)
+                writer.close()
+                await eventually(lambda: not fleet.pools.in_flight, timeout_s=0.5)
+            return len(hanging.received)
+
+        self.assertEqual(1, self.run_async(scenario()))
+
     async def read(self, reader, answers):
-        while data := await reader.read(65_536):
-            answers.feed(data)
+        with contextlib.suppress(ConnectionResetError):
+            while data := await reader.read(65_536):
+                answers.feed(data)
 
     async def answered(self, answers, count, reading):
         until_s = asyncio.get_running_loop().time() + QUIET_S
