A blocked request is told when it may return

A request refused on a route as one that ends upstreams got 503, which says not run, without Retry-After: the result counts as not repeatable where its status is 422. The test fails without the change.

--- a/shallotpoint/callers/exchange.py
+++ b/shallotpoint/callers/exchange.py
@@ -146,7 +146,8 @@
         Parameters
         ----------
         status : int, optional
-            Replaces the status that belongs to the result code.
+            Replaces the status that belongs to the result code, and lets the caller
+            return.
         """
         body = error_body(exc)
         if self.started:
@@ -157,7 +158,7 @@
         retry_s = exc.retry_after_s
         if retry_s is None and exc.info.retryable:
             retry_s = 1.0
-        if retry_s is not None and exc.info.retryable:
+        if retry_s is not None and (exc.info.retryable or status is not None):
             headers.append((b"retry-after", write_retry_after(retry_s)))
         await self.answer(honest_status(exc, status), body, headers=headers)
 
--- a/shallotpoint/results.py
+++ b/shallotpoint/results.py
@@ -214,7 +214,7 @@
     ),
     Result.POISON: _refusal(
         422,
-        "the request crashed two upstreams and is blocked",
+        "upstreams crashed under the request, and it is blocked",
         "do not send it again",
         "read the engine logs; the block ends by itself",
     ),
--- a/shallotpoint/tests/test_exposures.py
+++ b/shallotpoint/tests/test_exposures.py
@@ -11,6 +11,7 @@
 from shallotpoint.hashing import hash64
 from shallotpoint.platform_api.hosts import Host
 from shallotpoint.policy.actions import Refused
+from shallotpoint.policy.admission import MAX_RETRY_AFTER_S
 from shallotpoint.policy.exposures import (
     CONNECTED_S,
     DOUBT_S,
@@ -19,7 +20,7 @@
     ExposureBook,
 )
 from shallotpoint.policy.model import ServiceClass
-from shallotpoint.policy.poison import Incarnation, PoisonBook
+from shallotpoint.policy.poison import CrashReport, Incarnation, PoisonBook
 from shallotpoint.policy.route_placement import ServicePlacement
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.state import Slots
@@ -231,6 +232,20 @@
         self.assertIn("retry-after", headers)
 
 
+class BlockedTests(RouteCase):
+    def test_blocked_request_is_told_when_to_return(self):
+        async def scenario(fleet):
+            content = hash64(b"/desk/1\0school\0content")
+            for upstream in ("u8", "u9"):
+                fleet.pools.poison.crashed(CrashReport(content, upstream, 1e9))
+            return await fleet.ask()
+
+        behind = ScriptedUpstream()
+        status, _, headers = self.play(IDEMPOTENT, behind, scenario=scenario)
+        self.assertEqual((503, []), (status, behind.received))
+        self.assertEqual(MAX_RETRY_AFTER_S, float(headers["retry-after"]))
+
+
 class SharingTests(TestCase):
     def setUp(self):
         super().setUp()
