A request that is blocked while it waits is not sent; a refusal is no sign of life

A repeat in the queue was dispatched after the block. And a refusal, which a successor at the same address may give under the old name, took back the end of the upstream before it.

--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -355,7 +355,7 @@
             actions.append(action)
         return actions
 
-    def _dispatch_one(self, now: Seconds) -> Send | None:
+    def _dispatch_one(self, now: Seconds) -> Send | Expire | None:
         state = self._state
         free = state.open_upstreams()
         if not free:
@@ -367,6 +367,8 @@
             ticket = state.queues[cls.name].peek()
             if ticket is None:
                 continue
+            if state.is_blocked(ticket.fingerprint, now):
+                return self._give_up_blocked(ticket, now)
             if not state.is_owed(cls.name) and open_slots:
                 gives_way = rescue.gives_way(self.courses[ticket.id])
                 if not ordering.has_room(
@@ -380,6 +382,13 @@
             return self._send(self.courses[ticket.id], upstream, now)
         return None
 
+    def _give_up_blocked(self, ticket: Ticket, now: Seconds) -> Expire:
+        """End what was blocked while it waited."""
+        self._state.queues[ticket.service_class.name].remove(ticket.id)
+        self._forget(self.courses[ticket.id])
+        wait_s = admission.blocked_for_s(self._state, ticket, now)
+        return Expire(ticket, Result.POISON, wait_s)
+
     def _send(
         self, course: Course, upstream: str, now: Seconds, *, hedge: bool = False
     ) -> Send:
@@ -460,10 +469,10 @@
     ) -> None:
         self.health.failed(leg.upstream, now)
         self.placement.failed(course, leg.upstream, reason, now)
-        if reason in (Result.RETRY_REFUSED, Result.RETRY_ERROR):
+        if reason is Result.RETRY_ERROR:
             self._note_life(leg)
-            self._forget_exposure(course, leg)
-        elif reason in NOT_RUN:
+        if reason is Result.RETRY_ERROR or reason in NOT_RUN:
+            # A refusal is no sign of life: a successor at the address may give it.
             self._forget_exposure(course, leg)
         if self._state.exposures is not None:
             return
--- a/shallotpoint/tests/test_exposures.py
+++ b/shallotpoint/tests/test_exposures.py
@@ -10,7 +10,7 @@
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.hashing import hash64
 from shallotpoint.platform_api.hosts import Host
-from shallotpoint.policy.actions import Refused
+from shallotpoint.policy.actions import Expire, Refused
 from shallotpoint.policy.admission import MAX_RETRY_AFTER_S
 from shallotpoint.policy.exposures import (
     CONNECTED_S,
@@ -152,6 +152,33 @@
             self.end(upstream, 4.6)
         self.assertTrue(self.poison.blocked(FATAL, 4.7))
 
+    def test_budget_blocked_while_it_waits(self):
+        # BUDGET: a repeat that had waited in the queue was sent after the block.
+        self.scheduler.set_upstreams({"u0": Slots(1, 1, started_ms=5)})
+        first, _ = self.offer(0.0, content=8)
+        cls = ServiceClass("desk", 1)
+        ticket = Ticket("waits", cls, "school", 0.1, fingerprint=FATAL)
+        self.scheduler.offer(ticket, 0.1)
+        self.assertEqual([], self.scheduler.poll(0.1))
+        for upstream in ("u1", "u2", "u3"):
+            self.poison.crashed(CrashReport(FATAL, upstream, 0.2, 5))
+        self.scheduler.finished(first, "u0", 0.3)
+        [action] = self.scheduler.poll(0.4)
+        self.assertIsInstance(action, Expire)
+        self.assertEqual((Result.POISON, {}), (action.result, self.scheduler.courses))
+
+    def test_refusal_by_a_successor_at_the_address_is_no_sign_of_life(self):
+        self.scheduler.set_upstreams({"u0": Slots(4, 4, started_ms=5)})
+        ticket, upstream = self.offer(0.0)
+        self.scheduler.failed(
+            ticket, upstream, Result.RETRY_BROKE, 0.1, may_retry=False
+        )
+        other, _ = self.offer(2.6, content=8)
+        self.scheduler.failed(other, upstream, Result.RETRY_REFUSED, 2.7)
+        self.scheduler.abandon(other, 2.7)
+        self.end(upstream, 3.6)
+        self.assertEqual(1, self.poison.count(FATAL, 3.7))
+
     def test_late_answers_of_living_upstreams_block_nothing(self):
         for number in range(6):
             ticket, _ = self.offer(number * 0.5)
