A successor that cannot be told apart takes no end back

Found on reading the diff: where starts have no number (the demo's engines, entries without a start), an engine that came back after a crash and answered anybody took back its own crash, so that a request that crashes engines in turn would not have been blocked there. Where entries carry a start, as on the users' platform, nothing changes.

--- a/shallotpoint/controllers/crash_archive.py
+++ b/shallotpoint/controllers/crash_archive.py
@@ -122,8 +122,8 @@
         return f"{self._prefix}{end.upstream}/{end.started_ms}/{self._name}"
 
     def _read(self, key: str, raw: bytes) -> None:
-        upstream, _, rest = key.removeprefix(self._prefix).rpartition("/")
-        upstream, _, started = upstream.rpartition("/")
+        end, _, router = key.removeprefix(self._prefix).rpartition("/")
+        upstream, _, started = end.rpartition("/")
         try:
             contents = _decoder.decode(raw)
             started_ms = int(started)
@@ -132,4 +132,4 @@
             return
         now = self._clock()
         for content in contents:
-            self._on_report(CrashReport(content, upstream, now, started_ms), rest)
+            self._on_report(CrashReport(content, upstream, now, started_ms), router)
--- a/shallotpoint/policy/exposures.py
+++ b/shallotpoint/policy/exposures.py
@@ -97,10 +97,11 @@
         """Take a sign of life, the answer to an attempt sent at some time.
 
         Attempts that had closed before that did not end their upstream.  Open ones
-        stay, as the upstream may not have begun to run them.
+        stay, as the upstream may not have begun to run them.  It says nothing where
+        a successor cannot be told from the one that ended.
         """
         exposures = self._by_end.get(incarnation)
-        if exposures is None:
+        if exposures is None or not incarnation.started_ms:
             return
         for key, exposure in list(exposures.items()):
             if exposure.closed_s is not None and exposure.closed_s < sent_s:
--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -124,7 +124,12 @@
             self._drop(fingerprint, end)
 
     def alive(self, incarnation: Incarnation, sent_s: Seconds) -> None:
-        """Take a sign of life, the answer to an attempt sent at some time."""
+        """Take a sign of life, the answer to an attempt sent at some time.
+
+        It says nothing where a successor cannot be told from the one that ended.
+        """
+        if not incarnation.started_ms:
+            return
         self._alive_s[incarnation] = max(
             sent_s, self._alive_s.get(incarnation, -math.inf)
         )
