Only contents that were on several ends are kept and told on

Kept in the service and in the rows are now only contents with a second end; others are told once. A loss of all routers forgets the one end of a content that was on no other: one end more, at most, for each loss. Peers log such reports only.

--- a/shallotpoint/controllers/crash_archive.py
+++ b/shallotpoint/controllers/crash_archive.py
@@ -1,8 +1,8 @@
 """Crash reports in the key-value service, so that they outlive the routers.
 
-Each end has one entry by each router that had unanswered requests on it.  Entries are
-written a little after the end, when the sound requests among them have mostly been
-answered elsewhere, and go with their lease.
+Each end has one entry by each router that had an unanswered request on it which was
+on another end too; of most ends there is none, as all requests on them are sound.
+Entries go with their lease.
 """
 
 from __future__ import annotations
@@ -15,11 +15,11 @@
 import msgspec
 
 from shallotpoint.coordination.kv import Entry, KeyValue, KeyValueError, Put
-from shallotpoint.policy.poison import EXPIRY_S, CrashReport, Incarnation
+from shallotpoint.policy.poison import EXPIRY_S, CrashReport, Incarnation, PoisonBook
 from shallotpoint.types import Clock, Seconds
 
 TICK_S = 0.5
-SETTLE_S = 1.0  # most requests that were beside are answered elsewhere by then
+SETTLE_S = 0.5  # several ends at once take one write
 RETRY_S = 2.0  # after a write that failed or that is not yet heard back
 LEASE_S = EXPIRY_S
 ENTRIES_AT_ONCE = 16  # half of what one write may hold
@@ -35,8 +35,8 @@
     ----------
     prefix : str
         Where the entries are.
-    is_current : Callable
-        Returns whether a report still holds; others are not written.
+    poison : PoisonBook
+        Knows which reports still hold, and which requests were on several ends.
     on_report : Callable
         Called with each report that is found, and the router that wrote it.
     """
@@ -49,7 +49,7 @@
         *,
         clock: Clock,
         rng: random.Random,
-        is_current: Callable[[CrashReport], bool],
+        poison: PoisonBook,
         on_report: Callable[[CrashReport, str], None],
     ):
         self._kv = kv
@@ -57,11 +57,12 @@
         self._name = name
         self._clock = clock
         self._rng = rng
-        self._is_current = is_current
+        self._poison = poison
         self._on_report = on_report
         self._own: dict[Incarnation, list[CrashReport]] = {}
         self._due_s: dict[Incarnation, Seconds] = {}
         self._stored: dict[str, bytes] = {}
+        self._known: dict[str, frozenset[int]] = {}
 
     def add(self, reports: Sequence[CrashReport], now: Seconds) -> None:
         """Take in reports that are to be written."""
@@ -77,6 +78,7 @@
             if key.startswith(self._prefix)
         }
         before, self._stored = self._stored, stored
+        self._known = {k: v for k, v in self._known.items() if k in stored}
         for key, raw in stored.items():
             if before.get(key) != raw:
                 self._read(key, raw)
@@ -89,32 +91,38 @@
             if due:
                 await self._write(due)
 
-    def _due(self, now: Seconds) -> dict[Incarnation, list[CrashReport]]:
-        """Return the ends that are to be written now; forget what no longer holds."""
+    def _due(self, now: Seconds) -> dict[Incarnation, list[int]]:
+        """Return the contents to be written now, by end; forget what holds no more."""
+        due: dict[Incarnation, list[int]] = {}
         for end, reports in list(self._own.items()):
-            current = [r for r in reports if self._is_current(r)]
-            if current:
-                self._own[end] = current
-            elif now >= self._due_s[end]:
+            if now < self._due_s[end]:
+                continue
+            current = [r for r in reports if self._poison.holds(r)]
+            if not current:
                 del self._own[end], self._due_s[end]
-        due = [
-            end
-            for end in self._own
-            if now >= self._due_s[end] and self._key(end) not in self._stored
-        ]
-        return {end: self._own[end] for end in due[:ENTRIES_AT_ONCE]}
-
-    async def _write(self, due: Mapping[Incarnation, Sequence[CrashReport]]) -> None:
-        puts = []
+                continue
+            self._own[end] = current
+            found = {r.fingerprint for r in current}
+            repeated = {f for f in found if self._poison.is_repeated(f)}
+            if not repeated <= self._known.get(self._key(end), frozenset()):
+                due[end] = sorted(repeated)
+            if len(due) >= ENTRIES_AT_ONCE:
+                break
+        return due
+
+    async def _write(self, due: Mapping[Incarnation, list[int]]) -> None:
         for end in due:
             self._due_s[end] = self._clock() + RETRY_S * self._rng.uniform(1.0, 2.0)
         try:
             lease = await self._kv.grant(LEASE_S)
-            for end, reports in due.items():
-                contents = sorted({r.fingerprint for r in reports})
-                puts.append(Put(self._key(end), msgspec.json.encode(contents), lease))
             # Repeating this write is harmless, so a lost answer needs no reading back.
-            await self._kv.txn([], puts)
+            await self._kv.txn(
+                [],
+                [
+                    Put(self._key(end), msgspec.json.encode(contents), lease)
+                    for end, contents in due.items()
+                ],
+            )
         except KeyValueError as exc:
             _log.info("crashes not stored", extra={"reason": str(exc)})
 
@@ -130,6 +138,7 @@
         except (msgspec.DecodeError, ValueError) as exc:
             _log.warning("unreadable entry", extra={"entry": key, "reason": str(exc)})
             return
+        self._known[key] = frozenset(contents)
         now = self._clock()
         for content in contents:
             self._on_report(CrashReport(content, upstream, now, started_ms), router)
--- a/shallotpoint/controllers/crash_news.py
+++ b/shallotpoint/controllers/crash_news.py
@@ -12,6 +12,7 @@
 
 CRASHES_TOPIC = "crashes"
 KEPT_S = 600.0  # the poison book forgets a crash after the same time
+REACHED_S = 10.0  # a row has reached all peers, also past one that is away
 KEPT = 200  # reports in a row, so that it stays within one message
 
 
@@ -32,32 +33,34 @@
 
     Parameters
     ----------
-    is_current : Callable
-        Returns whether a report still holds; others are no longer published.
+    is_kept : Callable
+        Returns whether a report stays once it has had the time to reach all.
     """
 
     def __init__(
         self,
         board: Board,
         *,
-        is_current: Callable[[CrashReport], bool] = lambda report: True,
+        is_kept: Callable[[CrashReport], bool] = lambda report: True,
     ):
         self._board = board
-        self._is_current = is_current
-        self._reports: list[CrashReport] = []
+        self._is_kept = is_kept
+        self._reports: list[tuple[Seconds, CrashReport]] = []
 
     def add(self, reports: Sequence[CrashReport], *, now: Seconds) -> None:
         """Publish more crashes."""
-        held = [r for r in self._reports if self._holds(r, now)]
-        self._reports = [*held, *reports][-KEPT:]
+        held = [(s, r) for s, r in self._reports if self._holds(s, r, now)]
+        self._reports = [*held, *((now, r) for r in reports)][-KEPT:]
         wire = [
             _WireCrash(r.fingerprint, r.upstream, now - r.at_s, r.started_ms)
-            for r in self._reports
+            for _, r in self._reports
         ]
         self._board.publish(CRASHES_TOPIC, msgspec.msgpack.encode(wire), now=now)
 
-    def _holds(self, report: CrashReport, now: Seconds) -> bool:
-        return now - report.at_s < KEPT_S and self._is_current(report)
+    def _holds(self, told_s: Seconds, report: CrashReport, now: Seconds) -> bool:
+        if now - report.at_s >= KEPT_S:
+            return False
+        return now - told_s < REACHED_S or self._is_kept(report)
 
 
 def read_crashes(payload: bytes, *, now: Seconds) -> list[CrashReport]:
--- a/shallotpoint/controllers/crashes.py
+++ b/shallotpoint/controllers/crashes.py
@@ -51,7 +51,7 @@
         on_news: Callable[[], None],
     ):
         self._name = gossip.name
-        self._news = CrashNews(gossip, is_current=poison.holds)
+        self._news = CrashNews(gossip, is_kept=self._is_told_on)
         self._poison = poison
         self._exposures = exposures
         self._clock = clock
@@ -62,7 +62,7 @@
             gossip.name,
             clock=clock,
             rng=rng,
-            is_current=poison.holds,
+            poison=poison,
             on_report=self._hear,
         )
 
@@ -98,10 +98,17 @@
         """Take in what the key-value service keeps."""
         self._archive.take(entries)
 
+    def _is_told_on(self, report: CrashReport) -> bool:
+        """Return whether peers that have heard a report should hear it again."""
+        repeated = self._poison.is_repeated(report.fingerprint)
+        return repeated and self._poison.holds(report)
+
     def _hear(self, report: CrashReport, source: str) -> None:
-        if self._poison.crashed(report):
+        if not self._poison.crashed(report):
+            return
+        if self._poison.is_repeated(report.fingerprint):
             _log_crash(report, source, self._clock())
-            self._ended(report.incarnation, source)
+        self._ended(report.incarnation, source)
 
     def _ended(self, incarnation: Incarnation, evidence: str) -> None:
         """Count an end for all requests of this router that it leaves unanswered."""
--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -164,6 +164,10 @@
         total = len(record.ends)
         return sum(1 for end in record.ends if self._is_most_on(end, total))
 
+    def is_repeated(self, fingerprint: int) -> bool:
+        """Return whether a request was on more than one end."""
+        return len(self.ends(fingerprint)) > 1
+
     def holds(self, report: CrashReport) -> bool:
         """Return whether a report is still recorded."""
         return report.incarnation in self.ends(report.fingerprint)
