Attempts become crash reports in a class of its own, not in six branches of the scheduler

CrashWatch counts breaks, EndWatch ends; the scheduler tells either what happened. No change of behaviour, no test changed.

--- a/shallotpoint/policy/admission.py
+++ b/shallotpoint/policy/admission.py
@@ -46,7 +46,7 @@
     cls = ticket.service_class
     if state.is_blocked(ticket.fingerprint, now):
         return Refused(Result.POISON, blocked_for_s(state, ticket, now))
-    if not any(not slots.draining for slots in state.upstreams.values()):
+    if not state.taking:
         return Refused(Result.NO_UPSTREAM, 1.0)
     opening_s = state.opening_s(now)
     if opening_s is not None and not can_wait_for(ticket, opening_s):
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -280,7 +280,7 @@
         return target_s * (TIGHT_SLACK if tight else OTHER_SLACK)
 
     def _layout_of(self, state: PoolState, now: Seconds) -> _Layout:
-        names = [n for n, slots in state.upstreams.items() if not slots.draining]
+        names = state.taking
         tight = sum(
             len(load.tight) + load.peers.tight
             for load in map(self.loads.get, names)
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -22,15 +22,11 @@
     Withdraw,
 )
 from shallotpoint.policy.closures import ClosureBook
+from shallotpoint.policy.crash_watch import CrashWatch, EndWatch
 from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.placement import ByExpectedWait, Placement
-from shallotpoint.policy.poison import (
-    SICK_AFTER,
-    CrashReport,
-    Incarnation,
-    PoisonBook,
-)
+from shallotpoint.policy.poison import SICK_AFTER, PoisonBook
 from shallotpoint.policy.queueing import FairQueue
 from shallotpoint.policy.retries import WindowBudget
 from shallotpoint.policy.state import PoolState, Slots
@@ -38,7 +34,7 @@
 from shallotpoint.policy.tuning import Tuning
 from shallotpoint.policy.verdicts import verdict_on_retry
 from shallotpoint.policy.view import PoolView
-from shallotpoint.results import NOT_REACHED, NOT_RUN, Result
+from shallotpoint.results import NOT_REACHED, Result
 from shallotpoint.types import Seconds
 
 PREPAID_TOKENS = 16  # charged when sent, so that one organisation is not sent all
@@ -94,7 +90,12 @@
         self._state.shared_budget = budget
         self._state.exposures = exposures
         self.placement: Placement = placement or ByExpectedWait()
-        self.crash_reports: list[CrashReport] = []
+        self._crashes = (
+            CrashWatch(self._state.poison)
+            if exposures is None
+            else EndWatch(self._state.poison, exposures)
+        )
+        self.crash_reports = self._crashes.reports
         self._expiries: list[tuple[Seconds, str]] = []
         self._swept_s: Seconds = -math.inf
         self._stalls_s: Seconds = -math.inf
@@ -163,7 +164,7 @@
         actions: list[Action] = []
         if leg.first_s is None:
             leg.first_s = now
-            self._note_life(leg)
+            self._crashes.lives(leg)
             self._state.starting.pop(ticket_id, None)
             self.health.answered(upstream, now - leg.sent_s, now)
             self.placement.answered(course, upstream, now)
@@ -201,10 +202,7 @@
             if leg.first_s is None:
                 self.health.answered(upstream, now - leg.sent_s, now)
                 actions = self._drop_other_legs(course, leg, now)
-            self._state.poison.answered(
-                course.ticket.fingerprint, leg.incarnation, leg.sent_s
-            )
-            self._forget_exposure(course, leg)
+            self._crashes.answered(course.ticket, leg)
             self._state.budget(course.ticket, upstream).succeed(now)
         self._end_legs(course, now)
         self._forget(course)
@@ -236,9 +234,11 @@
         leg = course.leg_on(upstream) if course else None
         if course is None or leg is None:
             return None
-        self._note_failure(course, leg, reason, now)
+        self.health.failed(upstream, now)
+        self.placement.failed(course, upstream, reason, now)
+        self._crashes.failed(course, leg, reason, now)
         if is_gone:
-            self._note_end(leg.incarnation, now)
+            self._crashes.ended(leg.incarnation, now)
         if reason not in NOT_REACHED:
             course.reached += 1
         self._end_leg(course, upstream, now)
@@ -396,8 +396,7 @@
         slots = self.upstreams[upstream]
         leg = Leg(upstream, sent_s=now, started_ms=slots.started_ms, hedge=hedge)
         course.legs.append(leg)
-        if self._state.exposures is not None:
-            self._state.exposures.begin(ticket.id, ticket.fingerprint, leg)
+        self._crashes.sent(ticket, leg)
         course.tried.append(upstream)
         slots.running.add(ticket.id)
         if course.suspect:
@@ -462,43 +461,7 @@
         self._requeue(course, now)
         return Withdraw(course.ticket, upstream, reason, requeued=True)
 
-    # Failures
-
-    def _note_failure(
-        self, course: Course, leg: Leg, reason: Result, now: Seconds
-    ) -> None:
-        self.health.failed(leg.upstream, now)
-        self.placement.failed(course, leg.upstream, reason, now)
-        if reason is Result.RETRY_ERROR:
-            self._note_life(leg)
-        if reason is Result.RETRY_ERROR or reason in NOT_RUN:
-            # A refusal is no sign of life: a successor at the address may give it.
-            self._forget_exposure(course, leg)
-        if self._state.exposures is not None:
-            return
-        fingerprint = course.ticket.fingerprint
-        if fingerprint and reason in (Result.RETRY_BROKE, Result.RETRY_CARRY_ON):
-            self._note_crash(CrashReport(fingerprint, leg.upstream, now))
-            course.suspect = True
-
-    def _note_life(self, leg: Leg) -> None:
-        """Take an upstream's answer as a sign that it lived when it was asked."""
-        self._state.poison.alive(leg.incarnation, leg.sent_s)
-        if self._state.exposures is not None:
-            self._state.exposures.alive(leg.incarnation, leg.sent_s)
-
-    def _note_end(self, incarnation: Incarnation, now: Seconds) -> None:
-        if self._state.exposures is not None:
-            for report in self._state.exposures.ended(incarnation, now):
-                self._note_crash(report)
-
-    def _forget_exposure(self, course: Course, leg: Leg) -> None:
-        if self._state.exposures is not None:
-            self._state.exposures.forget(course.ticket.id, leg)
-
-    def _note_crash(self, report: CrashReport) -> None:
-        self._state.poison.crashed(report)
-        self.crash_reports.append(report)
+    # Bookkeeping
 
     def _note_overdue(self, now: Seconds) -> None:
         """Tell the health book how long first tokens have been outstanding."""
@@ -508,8 +471,6 @@
             self.health.set_overdue(name, waited_s)
         self.health.judge(now)
 
-    # Bookkeeping
-
     def _clear_suspicion(self, course: Course, leg: Leg, now: Seconds) -> None:
         if not course.suspect or now - leg.sent_s < SUSPECT_CLEAR_S:
             return
@@ -541,10 +502,7 @@
             return
         ticket = course.ticket
         course.legs.remove(leg)
-        if self._state.exposures is not None:
-            report = self._state.exposures.close(ticket.id, leg, now)
-            if report is not None:
-                self._note_crash(report)
+        self._crashes.closed(ticket, leg, now)
         self.placement.ended(course, upstream, now)
         if not course.legs:
             self._state.starting.pop(ticket.id, None)
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -98,13 +98,16 @@
         """Requests that wait, over all classes."""
         return sum(len(queue) for queue in self.queues.values())
 
+    @property
+    def taking(self) -> list[str]:
+        """Upstreams that are not draining."""
+        return [name for name, slots in self.upstreams.items() if not slots.draining]
+
     @property
     def total_slots(self) -> int:
         """Slots that this router may fill on upstreams that take work."""
         return sum(
-            slots.credits
-            for name, slots in self.upstreams.items()
-            if not slots.draining and self.is_usable(name)
+            self.upstreams[name].credits for name in self.taking if self.is_usable(name)
         )
 
     @property
@@ -138,8 +141,7 @@
 
     def opening_s(self, now: Seconds) -> Seconds | None:
         """Return when the first upstream opens, None if one is open or none listed."""
-        taking = [n for n, slots in self.upstreams.items() if not slots.draining]
-        return self.closures.opening_s(taking, now)
+        return self.closures.opening_s(self.taking, now)
 
     def is_usable(self, upstream: str) -> bool:
         """Return whether an upstream may take ordinary work."""
