The crash archive holds each entry once; one expiry of crashes

What an entry says was kept beside its bytes in a second table that had to follow it, and the row's expiry repeated the book's as a number. No change of behaviour, no test changed.

--- a/shallotpoint/controllers/crash_archive.py
+++ b/shallotpoint/controllers/crash_archive.py
@@ -11,6 +11,7 @@
 import logging
 import random
 from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
 
 import msgspec
 
@@ -28,6 +29,13 @@
 _log = logging.getLogger("shallotpoint.router")
 
 
+class _Stored(NamedTuple):
+    """An entry as it was last heard, and the contents that it names."""
+
+    raw: bytes
+    contents: frozenset[int]
+
+
 class CrashArchive:
     """Writes this router's reports, and hears those of all that ever wrote.
 
@@ -61,8 +69,7 @@
         self._on_report = on_report
         self._own: dict[Incarnation, list[CrashReport]] = {}
         self._due_s: dict[Incarnation, Seconds] = {}
-        self._stored: dict[str, bytes] = {}
-        self._known: dict[str, frozenset[int]] = {}
+        self._stored: dict[str, _Stored] = {}
 
     def add(self, reports: Sequence[CrashReport], now: Seconds) -> None:
         """Take in reports that are to be written."""
@@ -72,16 +79,14 @@
 
     def take(self, entries: Mapping[str, Entry]) -> None:
         """Take in a copy of the service's entries; others than crashes are ignored."""
-        stored = {
-            key: entry.value
-            for key, entry in entries.items()
-            if key.startswith(self._prefix)
-        }
-        before, self._stored = self._stored, stored
-        self._known = {k: v for k, v in self._known.items() if k in stored}
-        for key, raw in stored.items():
-            if before.get(key) != raw:
-                self._read(key, raw)
+        before, self._stored = self._stored, {}
+        for key, entry in entries.items():
+            if not key.startswith(self._prefix):
+                continue
+            known = before.get(key)
+            if known is None or known.raw != entry.value:
+                known = _Stored(entry.value, self._read(key, entry.value))
+            self._stored[key] = known
 
     async def run(self) -> None:
         """Write what is due, until cancelled."""
@@ -104,7 +109,8 @@
             self._own[end] = current
             found = {r.fingerprint for r in current}
             repeated = {f for f in found if self._poison.is_repeated(f)}
-            if not repeated <= self._known.get(self._key(end), frozenset()):
+            stored = self._stored.get(self._key(end))
+            if not repeated <= (stored.contents if stored else frozenset()):
                 due[end] = sorted(repeated)
             if len(due) >= ENTRIES_AT_ONCE:
                 break
@@ -129,7 +135,8 @@
     def _key(self, end: Incarnation) -> str:
         return f"{self._prefix}{end.upstream}/{end.started_ms}/{self._name}"
 
-    def _read(self, key: str, raw: bytes) -> None:
+    def _read(self, key: str, raw: bytes) -> frozenset[int]:
+        """Report an entry's contents and return them; none if it cannot be read."""
         end, _, router = key.removeprefix(self._prefix).rpartition("/")
         upstream, _, started = end.rpartition("/")
         try:
@@ -137,8 +144,8 @@
             started_ms = int(started)
         except (msgspec.DecodeError, ValueError) as exc:
             _log.warning("unreadable entry", extra={"entry": key, "reason": str(exc)})
-            return
-        self._known[key] = frozenset(contents)
+            return frozenset()
         now = self._clock()
         for content in contents:
             self._on_report(CrashReport(content, upstream, now, started_ms), router)
+        return frozenset(contents)
--- a/shallotpoint/controllers/crash_news.py
+++ b/shallotpoint/controllers/crash_news.py
@@ -7,11 +7,10 @@
 import msgspec
 
 from shallotpoint.coordination.gossip import Board
-from shallotpoint.policy.poison import CrashReport
+from shallotpoint.policy.poison import EXPIRY_S, CrashReport
 from shallotpoint.types import Seconds
 
 CRASHES_TOPIC = "crashes"
-KEPT_S = 600.0  # the poison book forgets a crash after the same time
 REACHED_S = 10.0  # a row has reached all peers, also past one that is away
 KEPT = 200  # reports in a row, so that it stays within one message
 
@@ -58,7 +57,7 @@
         self._board.publish(CRASHES_TOPIC, msgspec.msgpack.encode(wire), now=now)
 
     def _holds(self, told_s: Seconds, report: CrashReport, now: Seconds) -> bool:
-        if now - report.at_s >= KEPT_S:
+        if now - report.at_s >= EXPIRY_S:
             return False
         return now - told_s < REACHED_S or self._is_kept(report)
 
