--- a/shallotpoint/callers/dialect.py
+++ b/shallotpoint/callers/dialect.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -90,6 +91,9 @@
         Whether the upstream says that it takes no new work from now on.
     closed_s : float or None
         For how long the upstream wants no work from this router, in seconds.
+    limit_per_s : float or None
+        Requests a second that the upstream takes from all routers together;
+        infinite if it names no limit, None if what it names cannot be read.
     """
 
     request: str | None
@@ -97,6 +101,7 @@
     misdirected: bool = False
     leaving: bool = False
     closed_s: Seconds | None = None
+    limit_per_s: float | None = math.inf
 
 
 class Dialect(Protocol):
--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -69,11 +69,14 @@
     on_leaving : Callable
         Called with an upstream that says that it leaves, and with the start of its
         incarnation as it was known when the request was sent.
+    on_limit : Callable
+        Likewise, with the requests a second that it names, infinite for no limit.
     """
 
     client: BoundClient
     dialect: Dialect
     on_leaving: Callable[[str, int], None]
+    on_limit: Callable[[str, int, float], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +129,8 @@
             facts = self._edges.dialect.read_answer(resp.status, resp.headers)
             if facts.leaving and not facts.misdirected:
                 self._edges.on_leaving(upstream, started_ms)
+            if facts.limit_per_s is not None and not facts.misdirected:
+                self._edges.on_limit(upstream, started_ms, facts.limit_per_s)
             if facts.closed_s is not None:
                 self.pool.turned_away(upstream, facts.closed_s)
             self._check(facts, resp)
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -159,6 +159,7 @@
                 "waited_s": round(time.monotonic() - self._queued_s, 4),
                 "running": len(slots.running),
                 "elsewhere": slots.elsewhere,
+                "limit_per_s": self.services.pools.limit_per_s(upstream),
             },
         )
         address = self.services.pools.address_of(upstream)
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -14,6 +14,7 @@
     CreditsSection,
     DeparturesSection,
     HostsSection,
+    LimitsSection,
     credit_key,
 )
 from shallotpoint.metrics import Metrics
@@ -266,6 +267,11 @@
         host = self._board.get(HostsSection).find(upstream)
         return host.started_ms if host else 0
 
+    def limit_per_s(self, upstream: str) -> float | None:
+        """Return the requests a second that an upstream takes, None for any number."""
+        limit = self._board.get(LimitsSection).limits.get(upstream)
+        return limit.per_s if limit else None
+
     def _slots(self, pool: Pool) -> dict[str, Slots]:
         hosts = self._board.get(HostsSection)
         config = self._board.get(ConfigSection).config
--- a/shallotpoint/controllers/sections.py
+++ b/shallotpoint/controllers/sections.py
@@ -93,6 +93,30 @@
         return departure is not None and departure.started_ms == host.started_ms
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """The requests a second that one upstream takes from all routers together.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start of the incarnation that named it.
+    heard_s : float
+        When an answer last named it, by the clock of this router.
+    """
+
+    per_s: float
+    started_ms: int
+    heard_s: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsSection:
+    """The upstreams that name a limit, by name."""
+
+    limits: Mapping[str, NamedLimit] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class ContactSection:
     """When this router last heard from the service and from peers.
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -32,6 +32,7 @@
     shared_secret,
 )
 from shallotpoint.controllers.journal import Journal
+from shallotpoint.controllers.limits import LimitController
 from shallotpoint.controllers.load_sharing import LoadController
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.route_config import RouteConfigController
@@ -207,6 +208,7 @@
         self.departures = DepartureController(
             self.board, self.gossip, clock=self._clock, on_news=self._poke
         )
+        self.limits = LimitController(self.board, clock=self._clock)
         self.registration = RouterRegistration(
             edges.kv,
             f"{edges.router_prefix}{self.name}",
@@ -337,7 +339,10 @@
             board=self.board,
             services=services,
             edges=RouteEdges(
-                self.client, self.edges.dialect, self.departures.announced
+                self.client,
+                self.edges.dialect,
+                self.departures.announced,
+                self.limits.heard,
             ),
             keys=self.keys,
             stop_left_s=self.stop_left_s,
--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -18,6 +18,7 @@
 from shallotpoint.callers.run import Services
 from shallotpoint.controllers.departures import DepartureController
 from shallotpoint.controllers.journal import Journal
+from shallotpoint.controllers.limits import LimitController
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.sections import ConfigSection, HostsSection
 from shallotpoint.coordination.config import ConfigState
@@ -96,6 +97,7 @@
             misdirected,
             leaving="x-leaving" in headers,
             closed_s=float(closed) if closed else None,
+            limit_per_s=float(headers.get("x-limit", "inf")),
         )
 
     def write_retry_after(self, wait_s: Seconds) -> bytes:
@@ -194,6 +196,7 @@
         departures = DepartureController(
             board, Board("test", 1), clock=time.monotonic, on_news=lambda: None
         )
+        limits = LimitController(board, clock=time.monotonic)
         hosts = []
         for number, upstream in enumerate(upstreams, 1):
             address = await stack.enter_async_context(upstream.serving())
@@ -211,7 +214,9 @@
         app = RoutesApp(
             board=board,
             services=Services(pools, Metrics(), Journal()),
-            edges=RouteEdges(client, PlainDialect(), departures.announced),
+            edges=RouteEdges(
+                client, PlainDialect(), departures.announced, limits.heard
+            ),
             keys=KeyView(FreshnessRule, lambda now: fleet.age_s, time.monotonic),
             stop_left_s=lambda: fleet.stop_left_s,
             ids=request_ids(),
