A limited upstream gets requests by permits that one router hands out

Cause: a bound on a sum over all routers that no router kept. Nothing read the limit; and had each router kept to it by itself, ten of them would have sent ten times as much. What the bound leaves for all mistakes together, 2 x limit + 5 in 4 s, does not grow with the number of routers, so that neither a share for each nor a bucket in each can hold it.

Now the router that holds a lease in the key-value service hands out the upstream's permits (coordination/permits): each lets one request pass and lapses 1 s after it was asked for, by a clock that counts suspended time. In a time T at most limit x (T + 1) + burst requests pass, from however many routers, whatever each of them believes; a successor begins with nothing saved. The scheduler sends to a limited upstream only against a permit, for first tries, repeats and resumptions alike; a request that suits it waits 30 ms at most for one and goes elsewhere; where all are limited it waits for its predicted turn or is refused at once (result 215). A limit ends by an answer to a request whose permit is newer than the last naming, so that answers which overtake each other end nothing. Routers learn of a limit by an answer, a peer's row, or the lease's entry, also after a restart.

--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -21,6 +21,7 @@
 from shallotpoint.callers.exchange import Exchange
 from shallotpoint.callers.run import RequestRun
 from shallotpoint.errors import RequestError
+from shallotpoint.policy.limits import Permit
 from shallotpoint.policy.routes import Route, RouteKind
 from shallotpoint.results import Executed, Result
 from shallotpoint.types import Seconds
@@ -70,13 +71,14 @@
         Called with an upstream that says that it leaves, and with the start of its
         incarnation as it was known when the request was sent.
     on_limit : Callable
-        Likewise, with the requests a second that it names, infinite for no limit.
+        Likewise, with the requests a second that it names, infinite for no limit, and
+        the permit under which the request was sent.
     """
 
     client: BoundClient
     dialect: Dialect
     on_leaving: Callable[[str, int], None]
-    on_limit: Callable[[str, int, float], None]
+    on_limit: Callable[[str, int, float, Permit | None], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +121,7 @@
         if left_s <= 0.0:
             raise UpstreamFailure(Result.RETRY_CONNECT, "no time is left")
         started_ms = self.services.pools.started_ms(upstream)
+        permit = self.pool.permit_of(self.ticket.id, upstream)
         async with self._edges.client.sending(
             upstream,
             address,
@@ -130,7 +133,7 @@
             if facts.leaving and not facts.misdirected:
                 self._edges.on_leaving(upstream, started_ms)
             if facts.limit_per_s is not None and not facts.misdirected:
-                self._edges.on_limit(upstream, started_ms, facts.limit_per_s)
+                self._edges.on_limit(upstream, started_ms, facts.limit_per_s, permit)
             if facts.closed_s is not None:
                 self.pool.turned_away(upstream, facts.closed_s)
             self._check(facts, resp)
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -20,6 +20,7 @@
 from shallotpoint.metrics import Metrics
 from shallotpoint.platform_api.hosts import HostState
 from shallotpoint.policy.actions import Admission, Admitted, Expire, Send, Withdraw
+from shallotpoint.policy.limits import Ask, Permit
 from shallotpoint.policy.model import Pool
 from shallotpoint.policy.poison import SICK_AFTER, CrashReport, PoisonBook
 from shallotpoint.policy.scheduler import Scheduler
@@ -55,12 +56,16 @@
         clock: Clock,
         *,
         on_urgent: Callable[[], None] = lambda: None,
+        on_ask: Callable[[Ask], None] = lambda ask: None,
+        before_poll: Callable[[], None] = lambda: None,
         scheduler: Scheduler | None = None,
     ):
         self.pool = pool
         self.scheduler = scheduler or Scheduler(poison=poison)
         self._clock = clock
         self._on_urgent = on_urgent
+        self._on_ask = on_ask
+        self._before_poll = before_poll
         self._runners: dict[str, Runner] = {}
         self._polling = False
 
@@ -117,6 +122,10 @@
         """Note that an upstream wants nothing for a time."""
         self.scheduler.turned_away(upstream, wait_s, self._clock())
 
+    def permit_of(self, ticket_id: str, upstream: str) -> Permit | None:
+        """Return the permit under which a request was sent, None if it needed none."""
+        return self.scheduler.permit_of(ticket_id, upstream)
+
     def opening_in_s(self) -> Seconds | None:
         """Return the time until an upstream opens, None if one is open."""
         now = self._clock()
@@ -136,6 +145,7 @@
         if self._polling:
             return
         self._polling = True
+        self._before_poll()
         try:
             self._carry_out(self.scheduler.poll(self._clock()))
         finally:
@@ -143,6 +153,9 @@
 
     def _carry_out(self, actions) -> None:
         for action in actions:
+            if isinstance(action, Ask):
+                self._on_ask(action)
+                continue
             runner = self._runners.get(action.ticket.id)
             if runner is None:
                 continue
@@ -168,6 +181,8 @@
         on_crash: Callable[[CrashReport], None] = lambda report: None,
         on_urgent: Callable[[], None] = lambda: None,
         on_slow: Callable[[str, str], None] = lambda pool, upstream: None,
+        on_ask: Callable[[Ask], None] = lambda ask: None,
+        before_poll: Callable[[], None] = lambda: None,
         make_scheduler: Callable[[Pool, PoisonBook], Scheduler] | None = None,
         poison: PoisonBook | None = None,
     ):
@@ -179,6 +194,8 @@
         self._on_crash = on_crash
         self._on_urgent = on_urgent
         self._on_slow = on_slow
+        self._on_ask = on_ask
+        self._before_poll = before_poll
         self._runners: dict[str, PoolRunner] = {}
         for section in _READ:
             board.on_change(section, lambda _: self.refresh())
@@ -191,6 +208,11 @@
         """Return all runners."""
         return list(self._runners.values())
 
+    def poll(self) -> None:
+        """Let all schedulers act at once."""
+        for runner in self.runners():
+            runner.poll()
+
     def measure(self, metrics: Metrics) -> None:
         """Bring the gauges of queues and running requests up to date."""
         for runner in self.runners():
@@ -217,6 +239,8 @@
                     self.poison,
                     self._clock,
                     on_urgent=self._on_urgent,
+                    on_ask=self._on_ask,
+                    before_poll=self._before_poll,
                     scheduler=make(pool, self.poison) if make else None,
                 )
                 self._runners[name] = runner
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -12,7 +12,7 @@
 import random
 import secrets
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from shallotpoint.blackboard import Blackboard
@@ -32,7 +32,7 @@
     shared_secret,
 )
 from shallotpoint.controllers.journal import Journal
-from shallotpoint.controllers.limits import LimitController
+from shallotpoint.controllers.limits import LIMITS_TOPIC, LimitController
 from shallotpoint.controllers.load_sharing import LoadController
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.route_config import RouteConfigController
@@ -45,10 +45,19 @@
 from shallotpoint.coordination.config import ConfigState
 from shallotpoint.coordination.copies import CopyServer, PeerSource
 from shallotpoint.coordination.gossip import Board, Row
-from shallotpoint.coordination.kv import KeyValueError, PolledKeyValue, Source
+from shallotpoint.coordination.kv import (
+    Entry,
+    KeyValueError,
+    PolledKeyValue,
+    Source,
+)
 from shallotpoint.coordination.overlay import FULL_MESH_UP_TO
 from shallotpoint.coordination.peers import ConfigPort, LoadPort, Peers
-from shallotpoint.coordination.transport import NngTransport, Sealer
+from shallotpoint.coordination.transport import (
+    NngTransport,
+    Sealer,
+    TransportError,
+)
 from shallotpoint.coordination.tree import Position, position
 from shallotpoint.daemons.tasks import Tasks
 from shallotpoint.httpd import HttpServer
@@ -58,6 +67,7 @@
 from shallotpoint.policy.configuration import Config
 from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.freshness import FreshnessRule
+from shallotpoint.policy.limits import LimitBook
 from shallotpoint.policy.model import Pool, PoolKind
 from shallotpoint.policy.poison import PoisonBook
 from shallotpoint.policy.retries import SharedBudget, WindowBudget
@@ -76,6 +86,7 @@
 ENDS_TO_BLOCK = 3  # a sound request is seldom on as many in a row without an answer
 SECRET_RETRY_S = 0.5
 MEASURE_S = 1.0
+PERMITS_MARK = b"permits:"  # begins no question for a copy
 
 _log = logging.getLogger("shallotpoint.router")
 
@@ -110,6 +121,11 @@
         """Where crash reports are kept."""
         return f"{self.shared_prefix}crashes/"
 
+    @property
+    def limit_prefix(self) -> str:
+        """Where it is told who hands out the permits of limited upstreams."""
+        return f"{self.shared_prefix}limits/"
+
     @property
     def secret_key(self) -> str:
         """Where the secret of the peers is kept."""
@@ -155,6 +171,7 @@
         self.poison = PoisonBook(block_after=ENDS_TO_BLOCK)
         self.exposures = ExposureBook()
         self.closures = ClosureBook(self._rng)
+        self.limit_book = LimitBook()
         self.config = RouteConfigController(
             self.board,
             self._sources,
@@ -168,6 +185,8 @@
             data_centre=settings.router.data_centre,
             clock=self._clock,
             on_crash=lambda report: self.crashes.seen(report),
+            on_ask=lambda ask: self.limits.ask(ask),
+            before_poll=lambda: self.limits.expire(),
             make_scheduler=self._make_scheduler,
             poison=self.poison,
         )
@@ -182,7 +201,7 @@
             rng=self._rng,
             on_restart=self._upstream_restarted,
             on_end=self._upstream_ended,
-            on_shared=lambda entries: self.crashes.take_entries(entries),
+            on_shared=self._take_shared,
         )
         self.copies = CopyServer(
             [self.config.follower, self.directory.upstreams, self.directory.routers],
@@ -208,7 +227,21 @@
         self.departures = DepartureController(
             self.board, self.gossip, clock=self._clock, on_news=self._poke
         )
-        self.limits = LimitController(self.board, clock=self._clock)
+        self.limits = LimitController(
+            self.board,
+            self.gossip,
+            self.limit_book,
+            edges.kv,
+            prefix=edges.limit_prefix,
+            name=self.name,
+            process=f"{self.name}/{self._incarnation}",
+            clock=self._clock,
+            lasting_clock=boot_clock,
+            ask=self._ask_for_permits,
+            silent=lambda: self.peers.silent() if self.peers else set(),
+            on_news=self._poke,
+            on_change=lambda: self.pools.poll(),
+        )
         self.registration = RouterRegistration(
             edges.kv,
             f"{edges.router_prefix}{self.name}",
@@ -236,6 +269,7 @@
             stack.push_async_callback(self.edges.kv.close)
             stack.push_async_callback(self.client.close)
             stack.push_async_callback(self._tasks.stop)
+            stack.push_async_callback(self.limits.close)
             self._tasks.start("config", self.config.run())
             self._tasks.start("directory", self.directory.run())
             await self._start_servers(stack)
@@ -269,7 +303,7 @@
         leave_s = min(started_s + LEAVE_S, until_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(1.0):
-                await self.registration.leave()
+                await asyncio.gather(self.registration.leave(), self.limits.leave())
         while self._clock() < until_s:
             if self._clock() >= leave_s and not self.pools.in_flight:
                 break
@@ -310,8 +344,13 @@
             budget=budget,
             closures=self.closures,
             exposures=self.exposures,
+            limits=self.limit_book,
         )
 
+    def _take_shared(self, entries: Mapping[str, Entry]) -> None:
+        self.crashes.take_entries(entries)
+        self.limits.take_entries(entries)
+
     def _upstream_restarted(self, name: str) -> None:
         """Forget what an upstream held before it started anew."""
         self.client.forget(name)
@@ -375,7 +414,7 @@
             self.gossip,
             transport,
             config=ConfigPort(ConfigState, lambda sections: None),
-            answer=self.copies.answer,
+            answer=self._answer,
             clock=self._clock,
             rng=self._rng,
             on_rows=self._take_rows,
@@ -434,6 +473,22 @@
     def _is_mesh(self) -> bool:
         return self._routers() <= FULL_MESH_UP_TO
 
+    async def _answer(self, body: bytes) -> bytes:
+        """Answer a peer's question, for permits or for a copy."""
+        if body.startswith(PERMITS_MARK):
+            return await self.limits.answer(body.removeprefix(PERMITS_MARK))
+        return await self.copies.answer(body)
+
+    async def _ask_for_permits(
+        self, router: str, body: bytes, timeout_s: Seconds
+    ) -> bytes:
+        host = self.board.get(HostsSection).routers().get(router)
+        if self.peers is None or host is None:
+            raise TransportError(f"{router} is not known as a peer")
+        return await self.peers.ask_one(
+            router, host.address, PERMITS_MARK + body, timeout_s
+        )
+
     def _source(self, router: Host) -> PeerSource:
         async def ask(body: bytes, timeout_s: Seconds) -> bytes:
             assert self.peers is not None
@@ -456,6 +511,8 @@
         for row in rows:
             if row.topic == DEPARTURES_TOPIC:
                 self.departures.take_row(row.origin, row.payload)
+            elif row.topic == LIMITS_TOPIC:
+                self.limits.take_row(row.origin, row.payload)
 
     def _poke(self) -> None:
         if self.peers is not None:
--- a/shallotpoint/policy/actions.py
+++ b/shallotpoint/policy/actions.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from shallotpoint.policy.limits import Ask
 from shallotpoint.policy.ticket import Ticket
 from shallotpoint.results import Result
 from shallotpoint.types import Seconds
@@ -55,5 +56,5 @@
     requeued: bool
 
 
-Action = Send | Expire | Withdraw
+Action = Send | Expire | Withdraw | Ask
 Admission = Admitted | Refused
--- a/shallotpoint/policy/admission.py
+++ b/shallotpoint/policy/admission.py
@@ -51,6 +51,10 @@
     opening_s = state.opening_s(now)
     if opening_s is not None and not can_wait_for(ticket, opening_s):
         return Refused(Result.UPSTREAMS_CLOSED, opening_s - now)
+    turn_s = turn_of_one_more(state, cls.tier, now)
+    if not can_wait_for(ticket, turn_s):
+        wait_s = state.closures.spread_s(turn_s - now)
+        return Refused(Result.UPSTREAMS_LIMITED, retry_after_s(wait_s))
     wait_s = estimate_wait_s(state, cls, ticket.organisation, now)
     queue = state.queues.get(cls.name)
     if queue is None:
@@ -65,6 +69,42 @@
     return wait_s
 
 
+def turn_of_one_more(state: PoolState, tier: int, now: Seconds) -> Seconds:
+    """Return when a new request gets a permit, ``now`` where it needs none."""
+    limited = state.limited_upstreams() if state.limits else []
+    if not limited:
+        return now
+    sooner = sum(
+        len(queue)
+        for name, queue in state.queues.items()
+        if state.classes[name].tier <= tier
+    )
+    waiting = state.waiting_count
+    last_s = state.limits.turn_s(limited, waiting, now)
+    return now + (last_s - now) * (sooner + 1) / (waiting + 1)
+
+
+def late_for_permits(state: PoolState, now: Seconds) -> list[tuple[Ticket, Seconds]]:
+    """Return what waits and cannot get a permit in time, with its predicted turn."""
+    limited = state.limited_upstreams() if state.limits else []
+    if not limited:
+        return []
+    waiting = [ticket for queue in state.queues.values() for ticket in queue]
+    waiting.sort(key=lambda ticket: (ticket.service_class.tier, ticket.due_s))
+    each_s = (state.limits.turn_s(limited, len(waiting), now) - now) / (
+        len(waiting) + 1
+    )
+    late = []
+    kept = 0
+    for ticket in waiting:
+        turn_s = now + each_s * (kept + 1)
+        if can_wait_for(ticket, turn_s):
+            kept += 1
+        else:
+            late.append((ticket, turn_s))
+    return late
+
+
 def blocked_for_s(state: PoolState, ticket: Ticket, now: Seconds) -> Seconds:
     """Return when a blocked request may be told to return, in seconds."""
     if state.poison.blocked(ticket.fingerprint, now):
--- a/shallotpoint/policy/closures.py
+++ b/shallotpoint/policy/closures.py
@@ -42,10 +42,14 @@
     def close(self, upstream: str, wait_s: Seconds, now: Seconds) -> None:
         """Note that an upstream wants nothing for a time; repeats only lengthen it."""
         wait_s = min(LONGEST_S, wait_s)
-        until_s = now + wait_s + self._rng.uniform(0.0, SPREAD_MIN_S + SPREAD * wait_s)
+        until_s = now + self.spread_s(wait_s)
         self._until_s = {n: at_s for n, at_s in self._until_s.items() if at_s > now}
         self._until_s[upstream] = max(until_s, self._until_s.get(upstream, until_s))
 
+    def spread_s(self, wait_s: Seconds) -> Seconds:
+        """Return a wait made longer, so that not all come back at once."""
+        return wait_s + self._rng.uniform(0.0, SPREAD_MIN_S + SPREAD * wait_s)
+
     def is_closed(self, upstream: str, now: Seconds) -> bool:
         """Return whether nothing may be sent to an upstream."""
         return self._until_s.get(upstream, now) > now
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -24,6 +24,7 @@
 from shallotpoint.policy.closures import ClosureBook
 from shallotpoint.policy.crash_watch import CrashWatch, EndWatch
 from shallotpoint.policy.exposures import ExposureBook
+from shallotpoint.policy.limits import HOLD_S, LimitBook, Permit
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.placement import ByExpectedWait, Placement
 from shallotpoint.policy.poison import SICK_AFTER, PoisonBook
@@ -60,6 +61,8 @@
         Shared among the pools of a router.
     exposures : ExposureBook, optional
         Likewise; without it each broken connection counts as a crash.
+    limits : LimitBook, optional
+        Likewise.
 
     Examples
     --------
@@ -81,12 +84,15 @@
         budget: WindowBudget | None = None,
         closures: ClosureBook | None = None,
         exposures: ExposureBook | None = None,
+        limits: LimitBook | None = None,
     ):
         super().__init__(
             PoolState(tuning or Tuning(), poison or PoisonBook(sick_after=SICK_AFTER))
         )
         if closures is not None:
             self._state.closures = closures
+        if limits is not None:
+            self._state.limits = limits
         self._state.shared_budget = budget
         self._state.exposures = exposures
         self.placement: Placement = placement or ByExpectedWait()
@@ -281,13 +287,22 @@
         if self.waiting_count:
             actions += self._dispatch(now)
             actions += self._preempt(now)
+        if self._state.limits:
+            actions += self._state.limits.due(now)
         return actions
 
+    def permit_of(self, ticket_id: str, upstream: str) -> Permit | None:
+        """Return the permit under which a request was sent, None if it needed none."""
+        course = self.courses.get(ticket_id)
+        leg = course.leg_on(upstream) if course else None
+        return leg.permit if leg else None
+
     def _sweep(self, now: Seconds) -> list[Action]:
         """Do what follows from the passing of time alone."""
         self._note_overdue(now)
         self._state.mark_closed(now)
         actions = self._expire(now) + self._give_up_closed(now)
+        actions += self._give_up_limited(now)
         self._update_shares(now)
         for course, upstream in rescue.overdue(self._state, now):
             actions.append(self._send(course, upstream, now, hedge=True))
@@ -337,6 +352,19 @@
                 actions.append(Expire(ticket, Result.UPSTREAMS_CLOSED, opening_s - now))
         return actions
 
+    def _give_up_limited(self, now: Seconds) -> list[Action]:
+        """End what waits for permits and gets none before its time is over."""
+        state = self._state
+        actions: list[Action] = []
+        for ticket, turn_s in admission.late_for_permits(state, now):
+            if self.courses[ticket.id].tokens:
+                continue
+            state.queues[ticket.service_class.name].remove(ticket.id)
+            self._forget(self.courses[ticket.id])
+            wait_s = admission.retry_after_s(state.closures.spread_s(turn_s - now))
+            actions.append(Expire(ticket, Result.UPSTREAMS_LIMITED, wait_s))
+        return actions
+
     def _update_shares(self, now: Seconds) -> None:
         state = self._state
         waiting = {name: len(queue) for name, queue in state.queues.items()}
@@ -359,6 +387,7 @@
         state = self._state
         free = state.open_upstreams()
         if not free:
+            self._wish_for_all(now)
             return None
         open_slots = sum(
             self.upstreams[name].free for name in free if state.is_usable(name)
@@ -375,13 +404,43 @@
                     state, cls, now, free=open_slots, gives_way=gives_way
                 ):
                     continue
-            upstream = self.placement.choose(state, self.courses[ticket.id], free, now)
+            upstream = self._choose(self.courses[ticket.id], free, now)
             if upstream is None:
                 continue
             state.queues[cls.name].pop()
             return self._send(self.courses[ticket.id], upstream, now)
         return None
 
+    def _choose(self, course: Course, free: list[str], now: Seconds) -> str | None:
+        """Return where a request goes now, None if it waits.
+
+        One that suits a limited upstream best waits an instant for a permit.
+        """
+        state = self._state
+        askable = state.askable_upstreams(now) if state.limits else []
+        upstream = self.placement.choose(state, course, [*free, *askable], now)
+        if upstream is None or upstream not in askable:
+            return upstream
+        if course.held_s is None:
+            course.held_s = now
+        if now - course.held_s >= HOLD_S:
+            return self.placement.choose(state, course, free, now)
+        state.limits.wish(upstream, 1, tier=course.ticket.service_class.tier)
+        return None
+
+    def _wish_for_all(self, now: Seconds) -> None:
+        """Ask for permits for all that waits, as no upstream is open."""
+        state = self._state
+        askable = state.askable_upstreams(now) if state.limits else []
+        if not askable:
+            return
+        limited = sum(name in state.limits for name in state.taking)
+        tier = min(cls.tier for cls in ordering.class_order(state))
+        for upstream in askable:
+            state.limits.wish(
+                upstream, math.ceil(self.waiting_count / limited), tier=tier
+            )
+
     def _give_up_blocked(self, ticket: Ticket, now: Seconds) -> Expire:
         """End what was blocked while it waited."""
         self._state.queues[ticket.service_class.name].remove(ticket.id)
@@ -395,6 +454,8 @@
         ticket = course.ticket
         slots = self.upstreams[upstream]
         leg = Leg(upstream, sent_s=now, started_ms=slots.started_ms, hedge=hedge)
+        leg.permit = self._state.limits.take(upstream, now)
+        course.held_s = None
         course.legs.append(leg)
         self._crashes.sent(ticket, leg)
         course.tried.append(upstream)
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -11,6 +11,7 @@
 from shallotpoint.policy.dispatch import Candidate
 from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.health import HealthBook
+from shallotpoint.policy.limits import LimitBook
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.poison import PoisonBook
 from shallotpoint.policy.queueing import FairQueue
@@ -80,6 +81,7 @@
     tuning: Tuning
     poison: PoisonBook
     closures: ClosureBook = field(default_factory=lambda: ClosureBook(random.Random()))
+    limits: LimitBook = field(default_factory=LimitBook)
     health: HealthBook = field(default_factory=HealthBook)
     courses: dict[str, Course] = field(default_factory=dict)
     upstreams: dict[str, Slots] = field(default_factory=dict)
@@ -121,7 +123,27 @@
 
     def open_upstreams(self) -> list[str]:
         """Return the upstreams on which this router has a slot left."""
-        return [name for name, slots in self.upstreams.items() if slots.free]
+        allows = self.limits.allows
+        return [n for n, slots in self.upstreams.items() if slots.free and allows(n)]
+
+    def askable_upstreams(self, now: Seconds) -> list[str]:
+        """Return the limited upstreams with a slot left whose permit may soon come."""
+        return [
+            name
+            for name, slots in self.upstreams.items()
+            if slots.free
+            and not self.limits.allows(name)
+            and self.limits.may_ask(name, now)
+        ]
+
+    def limited_upstreams(self) -> list[str]:
+        """Return the upstreams that take work, if each of them is limited."""
+        names = [
+            name
+            for name, slots in self.upstreams.items()
+            if not (slots.draining or slots.closed)
+        ]
+        return names if all(name in self.limits for name in names) else []
 
     def is_blocked(self, fingerprint: int, now: Seconds) -> bool:
         """Return whether a request has ended too many upstreams to be sent again.
--- a/shallotpoint/policy/ticket.py
+++ b/shallotpoint/policy/ticket.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from shallotpoint.policy.limits import Permit
 from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.poison import Incarnation
 from shallotpoint.policy.prompts import Prompt
@@ -75,6 +76,8 @@
         Start of the upstream as it was known when the request was sent.
     held_back : bool
         Whether the stream waits for its caller, not for its upstream.
+    permit : Permit or None
+        What let it pass to an upstream that names a limit.
     """
 
     upstream: str
@@ -85,6 +88,7 @@
     tokens: int = 0
     hedge: bool = False
     held_back: bool = False
+    permit: Permit | None = None
 
     @property
     def incarnation(self) -> Incarnation:
@@ -105,6 +109,8 @@
     ----------
     reached : int
         Upstreams that the request was sent to and that may have read it.
+    held_s : float or None
+        Since when it waits for a permit of the upstream that suits it best.
     """
 
     ticket: Ticket
@@ -117,6 +123,7 @@
     preemptions: int = 0
     reached: int = 0
     suspect: bool = False
+    held_s: Seconds | None = None
 
     def leg_on(self, upstream: str) -> Leg | None:
         """Return the leg on an upstream, or None."""
--- a/shallotpoint/results.py
+++ b/shallotpoint/results.py
@@ -60,6 +60,7 @@
     STALE_VIEW = 212
     NO_ROUTE = 213
     UPSTREAMS_CLOSED = 214
+    UPSTREAMS_LIMITED = 215
 
     UPSTREAM_BROKE = 300
     OUTCOME_UNKNOWN = 301
@@ -261,6 +262,13 @@
         "add upstreams or find what overruns them",
         retryable=True,
     ),
+    Result.UPSTREAMS_LIMITED: _refusal(
+        503,
+        "each upstream named how much it takes, and the turn would come too late",
+        _LATER,
+        "look for `upstream limited` in the logs; add upstreams",
+        retryable=True,
+    ),
     Result.UPSTREAM_BROKE: _failure(
         502,
         Executed.UNKNOWN,
--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
@@ -23,6 +24,8 @@
 from shallotpoint.controllers.sections import ConfigSection, HostsSection
 from shallotpoint.coordination.config import ConfigState
 from shallotpoint.coordination.gossip import Board
+from shallotpoint.coordination.memory_kv import MemoryKeyValue
+from shallotpoint.coordination.transport import TransportError
 from shallotpoint.hashing import hash_key
 from shallotpoint.httpd import serving
 from shallotpoint.metrics import Metrics
@@ -30,6 +33,7 @@
 from shallotpoint.policy.configuration import Config
 from shallotpoint.policy.exposures import ExposureBook
 from shallotpoint.policy.freshness import FreshnessRule
+from shallotpoint.policy.limits import LimitBook
 from shallotpoint.policy.model import Organisation, Pool, PoolKind
 from shallotpoint.policy.retries import SharedBudget, WindowBudget
 from shallotpoint.policy.route_placement import EnginePlacement, ServicePlacement
@@ -176,6 +180,7 @@
         write_hosts = board.claim(HostsSection, "test")
 
         exposures = ExposureBook()
+        limit_book = LimitBook()
 
         def make_scheduler(pool, poison) -> Scheduler:
             engine = pool.kind is PoolKind.ENGINE
@@ -185,6 +190,7 @@
                 placement=EnginePlacement() if engine else ServicePlacement(),
                 budget=WindowBudget(budget or SharedBudget(slack=100.0)),
                 exposures=exposures,
+                limits=limit_book,
             )
 
         pools = PoolsController(
@@ -192,11 +198,26 @@
             data_centre="here",
             clock=time.monotonic,
             make_scheduler=make_scheduler,
+            on_ask=lambda ask: limits.ask(ask),
+            before_poll=lambda: limits.expire(),
         )
         departures = DepartureController(
             board, Board("test", 1), clock=time.monotonic, on_news=lambda: None
         )
-        limits = LimitController(board, clock=time.monotonic)
+        limits = LimitController(
+            board,
+            Board("test", 1),
+            limit_book,
+            MemoryKeyValue(clock=time.monotonic, rng=random.Random(1)),
+            prefix="limits/",
+            name="test",
+            process="test/1",
+            clock=time.monotonic,
+            lasting_clock=time.monotonic,
+            ask=no_router,
+            on_change=pools.poll,
+        )
+        stack.push_async_callback(limits.close)
         hosts = []
         for number, upstream in enumerate(upstreams, 1):
             address = await stack.enter_async_context(upstream.serving())
@@ -229,6 +250,11 @@
         yield fleet
 
 
+async def no_router(name: str, question: bytes, timeout_s: Seconds) -> bytes:
+    """Answer for another router; there is none."""
+    raise TransportError(f"{name} is not there")
+
+
 def config_of(
     the_route: Route,
     kind: PoolKind = PoolKind.SERVICE,
