--- /dev/null
+++ b/shallotpoint/tests/test_limit_controller.py
@@ -0,0 +1,324 @@
+"""Routers that share the permits of limited upstreams."""
+
+import asyncio
+import math
+import random
+
+import msgspec
+from testtools.matchers import GreaterThan, LessThan
+
+from shallotpoint.blackboard import Blackboard
+from shallotpoint.controllers.limits import (
+    KEPT,
+    LEASE_S,
+    LIMITS_TOPIC,
+    LimitController,
+)
+from shallotpoint.controllers.sections import HostsSection, LimitsSection
+from shallotpoint.coordination.gossip import Board
+from shallotpoint.coordination.memory_kv import MemoryKeyValue
+from shallotpoint.coordination.permits import PERMIT_S
+from shallotpoint.coordination.transport import TransportError
+from shallotpoint.platform_api.hosts import Host
+from shallotpoint.policy.limits import Ask, LimitBook
+from shallotpoint.testing.cases import FakeClock, TestCase
+
+PREFIX = "limits/"
+STARTED_MS = 7
+
+
+class Router:
+    def __init__(self, fleet, name, process="1"):
+        self.fleet, self.name = fleet, name
+        self.board, self.book = Blackboard(), LimitBook()
+        self.gossip = Board(name, 1)
+        self.write_hosts = self.board.claim(HostsSection, "test")
+        self.limits = LimitController(
+            self.board,
+            self.gossip,
+            self.book,
+            fleet.kv,
+            prefix=PREFIX,
+            name=name,
+            process=f"{name}/{process}",
+            clock=fleet.clock,
+            lasting_clock=fleet.clock,
+            ask=self.send,
+        )
+        self.list_upstream(STARTED_MS)
+
+    def list_upstream(self, started_ms):
+        upstream = Host("u1", "upstream", "10.0.0.1:1", "here", started_ms=started_ms)
+        routers = [Host(name, "router", name, "here") for name in self.fleet.names]
+        self.write_hosts(HostsSection((upstream, *routers)))
+
+    async def send(self, router, question, timeout_s):
+        if self.name in self.fleet.cut or router in self.fleet.cut:
+            raise TransportError("cut")
+        return await self.fleet.routers[router].limits.answer(question)
+
+    def hear(self, per_s=1.2, permit=None):
+        self.limits.heard("u1", STARTED_MS, per_s, permit)
+
+    def read_entries(self):
+        entries = self.fleet.kv.store.list_prefix("").entries
+        self.limits.take_entries({entry.key: entry for entry in entries})
+
+    async def ask(self, count=1):
+        """Ask for permits; return those that came."""
+        before = self.permits()
+        await self.limits._get(Ask("u1", {1: count}))
+        return self.permits() - before
+
+    def permits(self):
+        limited = self.book._limited.get("u1")
+        return len(limited.permits) if limited else 0
+
+    @property
+    def keeps(self):
+        now = self.fleet.clock()
+        held = [kept.holder.held for kept in self.limits._kept.values()]
+        return any(lease and lease.allows(0.0, now) for lease in held)
+
+
+class Fleet:
+    def __init__(self, count=3):
+        self.clock = FakeClock(100.0)
+        self.kv = MemoryKeyValue(clock=self.clock, rng=random.Random(1))
+        self.names = [f"r{number}" for number in range(count)]
+        self.cut = set()
+        self.routers = {}
+        for name in self.names:
+            self.routers[name] = Router(self, name)
+
+    def __iter__(self):
+        return iter(self.routers.values())
+
+    async def settle(self):
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    async def all_hear(self):
+        for router in self:
+            router.hear()
+        await self.settle()
+        for router in self:
+            router.read_entries()
+
+    def keeper(self):
+        (keeper,) = [router for router in self if router.keeps]
+        return keeper
+
+    def others(self):
+        return [router for router in self if not router.keeps]
+
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+        self.kv.store.expire(self.clock())
+        for router in self:
+            router.limits.expire()
+            router.read_entries()
+
+
+class LimitControllerTests(TestCase):
+    def play(self, scenario, count=3):
+        async def main():
+            fleet = Fleet(count)
+            try:
+                return await scenario(fleet)
+            finally:
+                for router in fleet:
+                    await router.limits.close()
+
+        return self.run_async(main())
+
+    def test_one_of_them_hands_out_the_permits_of_all(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            fleet.pass_time(10 / 1.2 / 2)
+            await fleet.all_hear()
+            got = [await router.ask(count=5) for router in fleet]
+            return fleet.keeper().name, sum(got)
+
+        keeper, got = self.play(scenario, count=9)
+        self.assertIn(keeper, Fleet(9).names)
+        self.assertEqual(2, got)  # what may be saved up, however many routers ask
+
+    def test_limit_holds_while_its_keeper_stands_still(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            old = fleet.keeper()
+            fleet.pass_time(2.0)
+            got = await old.ask(count=5)
+            fleet.pass_time(LEASE_S)
+            self.assertEqual(0, old.permits())  # those that it had are lapsed
+            for _ in range(40):
+                for router in fleet:
+                    got += await router.ask(count=3)
+                await fleet.settle()
+                fleet.pass_time(0.1)
+            return got, [router.name for router in fleet.others()], old.name
+
+        got, others, old = self.play(scenario)
+        self.assertThat(got, LessThan(1.5 * 1.2 * 4 + 5))
+        self.assertThat(got, GreaterThan(3))
+        self.assertIn(old, others)
+
+    def test_a_planned_stop_hands_over_at_once(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            old = fleet.keeper()
+            await old.limits.leave()
+            fleet.pass_time(0.1)
+            for router in fleet.others():
+                await router.ask()
+            await fleet.settle()
+            fleet.pass_time(2.0)
+            asked = [await router.ask() for router in fleet]
+            return old.name, fleet.keeper().name, sum(asked)
+
+        old, new, got = self.play(scenario)
+        self.assertNotEqual(old, new)
+        self.assertEqual(2, got)
+
+    def test_without_a_keeper_that_is_reached_nothing_is_sent(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            lonely = fleet.others()[0]
+            fleet.cut.add(lonely.name)
+            fleet.pass_time(3.0)
+            return await lonely.ask(), lonely.book.allows("u1")
+
+        self.assertEqual((0, False), self.play(scenario))
+
+    def test_without_the_service_the_keeper_ends_with_its_lease(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            keeper = fleet.keeper()
+            fleet.kv.faults.down = True
+            fleet.clock.advance(2.0)
+            early = await keeper.ask()
+            fleet.clock.advance(LEASE_S)
+            keeper.limits.expire()
+            return early, await keeper.ask()
+
+        self.assertEqual((1, 0), self.play(scenario))
+
+    def test_a_new_process_knows_of_the_limit_before_it_is_told(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            fresh = Router(fleet, fleet.others()[0].name, process="2")
+            fresh.read_entries()
+            return fresh.book.allows("u1")
+
+        self.assertFalse(self.play(scenario))
+
+    def test_so_does_a_peer_by_a_row(self):
+        async def scenario(fleet):
+            one, two, _ = fleet
+            one.hear()
+            row = one.gossip.get(one.name, LIMITS_TOPIC)
+            two.limits.take_row(one.name, row.payload)
+            return two.book.allows("u1")
+
+        self.assertFalse(self.play(scenario))
+
+    def test_its_end_reaches_all_that_ask(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            fleet.pass_time(2.0)
+            one, two = fleet.others()
+            await one.ask()
+            permit = one.book.take("u1", fleet.clock())
+            fleet.pass_time(0.3)
+            one.hear(math.inf, permit)
+            await fleet.settle()
+            self.assertFalse(two.book.allows("u1"))
+            await two.ask()
+            row = one.gossip.get(one.name, LIMITS_TOPIC)
+            two.limits.take_row(one.name, row.payload)
+            return one.book.allows("u1"), two.book.allows("u1")
+
+        self.assertEqual((True, True), self.play(scenario))
+
+    def test_an_answer_sent_before_the_limit_was_known_ends_nothing(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            router = fleet.others()[0]
+            router.hear(math.inf)
+            await fleet.settle()
+            return router.book.allows("u1")
+
+        self.assertFalse(self.play(scenario))
+
+    def test_another_start_of_the_upstream_has_named_nothing(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            one, two, _ = fleet
+            one.list_upstream(STARTED_MS + 1)
+            row = two.gossip.get(two.name, LIMITS_TOPIC)
+            one.limits.take_row(two.name, row.payload)
+            return one.book.allows("u1")
+
+        self.assertTrue(self.play(scenario))
+
+    def test_permits_end_while_the_host_is_suspended(self):
+        async def scenario(fleet):
+            await fleet.all_hear()
+            fleet.pass_time(2.0)
+            router = fleet.others()[0]
+            self.assertEqual(1, await router.ask())
+            fleet.clock.advance(PERMIT_S)
+            router.limits.expire()
+            return router.book.allows("u1")
+
+        self.assertFalse(self.play(scenario))
+
+    def test_bytes_of_a_peer_that_cannot_be_read(self):
+        async def scenario(fleet):
+            router = fleet.routers["r0"]
+            for raw in (
+                b"",
+                b"\x93\x01",
+                msgspec.msgpack.encode(["r1", "u1", 7, -1.0]),
+            ):
+                try:
+                    await router.limits.answer(raw)
+                except TransportError:
+                    continue
+                self.fail(f"{raw!r} was answered")
+            bad = msgspec.msgpack.encode([["u1", STARTED_MS, 1.2, -1.0]])
+            self.assertRaises(msgspec.DecodeError, router.limits.take_row, "r1", bad)
+            return router.board.get(LimitsSection).limits
+
+        self.assertEqual({}, self.play(scenario))
+
+    def test_what_is_told_to_peers_is_bounded(self):
+        async def scenario(fleet):
+            router = fleet.routers["r0"]
+            for number in range(KEPT + 10):
+                router.limits.heard(f"x{number}", STARTED_MS, 1.2)
+            return len(router.gossip.get("r0", LIMITS_TOPIC).payload)
+
+        self.assertThat(self.play(scenario), LessThan(32 * KEPT))
+
+
+class KeeperLostTests(TestCase):
+    def test_another_follows_once_the_lease_has_lapsed(self):
+        async def main():
+            fleet = Fleet()
+            await fleet.all_hear()
+            old = fleet.keeper()
+            fleet.cut.add(old.name)
+            fleet.pass_time(LEASE_S)
+            one = next(router for router in fleet if router is not old)
+            for _ in range(3):
+                await one.ask()
+                await fleet.settle()
+                fleet.pass_time(0.6)
+            got = await one.ask(count=5)
+            for router in fleet:
+                await router.limits.close()
+            return got
+
+        self.assertNotEqual(0, self.run_async(main()))
