Of two requests that were on all of the same ends, neither is blocked before one more end

It had been on the same three ends as the fatal request, each of which is put down to the request that was on most ends: a tie blamed both. Now a tie needs one end more; the fatal request brings it with its next try, the sound one does not. test_budget_sound_request_that_was_on_the_same_ends failed before.

Ruled out: telling them apart by a first event, as streams that last less than a second have one too.

--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -149,7 +149,19 @@
 
     def blocked(self, fingerprint: int, now: Seconds) -> bool:
         """Return whether the request may not run anywhere."""
-        return self.count(fingerprint, now) >= self.block_after
+        return self.count(fingerprint, now) >= self.ends_to_block(fingerprint)
+
+    def ends_to_block(self, fingerprint: int) -> int:
+        """Return the ends after which a request is blocked.
+
+        One more is needed while another request was on all of the same ends, as one
+        of the two may be sound.
+        """
+        record = self._records.get(fingerprint)
+        if record is None:
+            return self.block_after
+        alike = set.intersection(*(self._on[end] for end in record.ends))
+        return self.block_after + (len(alike) > 1)
 
     def ends(self, fingerprint: int) -> Set[Incarnation]:
         """Return the ends that a request was on."""
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -162,7 +162,7 @@
         if count and self.exposures is not None:
             unanswered = self.exposures.unanswered(fingerprint, now)
             count += len(unanswered - self.poison.ends(fingerprint))
-        return count >= self.poison.block_after
+        return count >= self.poison.ends_to_block(fingerprint)
 
     def mark_closed(self, now: Seconds) -> None:
         """Bring the marks of closed upstreams up to date."""
--- a/shallotpoint/tests/test_poison.py
+++ b/shallotpoint/tests/test_poison.py
@@ -31,6 +31,24 @@
         self.assertTrue(book.blocked(FATAL, 5.0))
         self.assertFalse(book.blocked(7, 5.0))
 
+    def test_budget_sound_request_that_was_on_the_same_ends(self):
+        # Nothing tells the two apart yet, and the next end does.
+        book = PoisonBook(block_after=3)
+        for number in range(3):
+            for content in (FATAL, 7):
+                book.crashed(CrashReport(content, f"u{number}", 1.0 + number))
+        self.assertFalse(book.blocked(7, 5.0))
+        book.crashed(CrashReport(FATAL, "u3", 4.0))
+        self.assertTrue(book.blocked(FATAL, 5.0))
+        self.assertFalse(book.blocked(7, 5.0))
+
+    def test_two_fatal_requests_on_the_same_ends_are_blocked_one_end_later(self):
+        book = PoisonBook(block_after=3)
+        for number in range(4):
+            for content in (FATAL, FATAL + 1):
+                book.crashed(CrashReport(content, f"u{number}", 1.0 + number))
+        self.assertTrue(book.blocked(FATAL, 6.0) and book.blocked(FATAL + 1, 6.0))
+
     def test_each_start_of_one_upstream_counts(self):
         book = PoisonBook(block_after=3)
         for started_ms in (1, 2, 3):
