Late answers of an earlier start name no limit; limits kept are bounded

Read again: an answer to a request that was sent to an earlier start of an upstream would have put its limit on the next one (test_late_answers_of_an_earlier_start_change_nothing failed before), and limits of upstreams that are gone stayed for good. Tasks, used by controllers too, moves out of daemons.

--- a/shallotpoint/controllers/limits.py
+++ b/shallotpoint/controllers/limits.py
@@ -36,9 +36,9 @@
 from shallotpoint.coordination.overlay import rank
 from shallotpoint.coordination.permits import PERMIT_S
 from shallotpoint.coordination.transport import TransportError
-from shallotpoint.daemons.tasks import Tasks
 from shallotpoint.policy.limits import Ask, LimitBook, Outlook, Permit
 from shallotpoint.policy.poison import Incarnation
+from shallotpoint.tasks import Tasks
 from shallotpoint.types import Clock, Seconds
 
 LIMITS_TOPIC = "limits"
@@ -134,7 +134,7 @@
             holder_of=self._holder_of,
             is_listed=self._is_listed,
         )
-        board.on_change(HostsSection, self._forget_gone)
+        board.on_change(HostsSection, self._forget_replaced)
 
     async def close(self) -> None:
         """End all that runs."""
@@ -171,6 +171,8 @@
         permit : Permit, optional
             What the request was sent with.
         """
+        if not self._may_be(Incarnation(upstream, started_ms)):
+            return
         held = self._board.get(LimitsSection).limits.get(upstream)
         known = held is not None and held.started_ms == started_ms
         if math.isinf(per_s):
@@ -223,10 +225,13 @@
                 )
 
     def _is_news(self, incarnation: Incarnation) -> bool:
+        known = incarnation.upstream in self._board.get(LimitsSection).limits
+        return not known and self._may_be(incarnation)
+
+    def _may_be(self, incarnation: Incarnation) -> bool:
+        """Return whether no other start of the upstream is listed."""
         host = self._board.get(HostsSection).find(incarnation.upstream)
-        if host is not None and host.started_ms != incarnation.started_ms:
-            return False
-        return incarnation.upstream not in self._board.get(LimitsSection).limits
+        return host is None or host.started_ms == incarnation.started_ms
 
     def _take(self, limit: NamedLimit, upstream: str, source: str) -> None:
         _log.info(
@@ -241,8 +246,14 @@
         self._put(upstream, limit)
 
     def _put(self, upstream: str, limit: NamedLimit) -> None:
-        limits = self._board.get(LimitsSection).limits
-        self._write(LimitsSection({**limits, upstream: limit}))
+        limits = {**self._board.get(LimitsSection).limits, upstream: limit}
+        if len(limits) > KEPT:
+            hosts = self._board.get(HostsSection)
+            gone = [n for n in limits if n != upstream and hosts.find(n) is None]
+            for name in gone[: len(limits) - KEPT]:
+                del limits[name]
+                self._book.lift(name)
+        self._write(LimitsSection(limits))
         self._book.limit(upstream, limit.per_s)
 
     def _lift(self, upstream: str) -> None:
@@ -261,12 +272,11 @@
         _log.info("upstream names no limit", extra={"upstream": upstream})
         self._on_change()
 
-    def _forget_gone(self, hosts: HostsSection) -> None:
+    def _forget_replaced(self, _: HostsSection) -> None:
         """Drop the limits of incarnations that another one has replaced."""
         limits = self._board.get(LimitsSection).limits
         for upstream, limit in limits.items():
-            host = hosts.find(upstream)
-            if host is not None and host.started_ms != limit.started_ms:
+            if not self._may_be(Incarnation(upstream, limit.started_ms)):
                 self._lift(upstream)
 
     def _publish(self) -> None:
--- a/shallotpoint/controllers/permit_keeper.py
+++ b/shallotpoint/controllers/permit_keeper.py
@@ -19,8 +19,8 @@
 from shallotpoint.coordination.kv import KeyValue, KeyValueError
 from shallotpoint.coordination.lease import LeaseHolder
 from shallotpoint.coordination.permits import LEAST_PER_S, Grant, PermitBook
-from shallotpoint.daemons.tasks import Tasks
 from shallotpoint.policy.poison import Incarnation
+from shallotpoint.tasks import Tasks
 from shallotpoint.types import Clock, Seconds
 
 LEASE_S = 5.0  # a keeper that is gone leaves an upstream idle for no longer
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -59,7 +59,6 @@
     TransportError,
 )
 from shallotpoint.coordination.tree import Position, position
-from shallotpoint.daemons.tasks import Tasks
 from shallotpoint.httpd import HttpServer
 from shallotpoint.metrics import Metrics
 from shallotpoint.platform_api.hosts import Host
@@ -75,6 +74,7 @@
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.tuning import ROUTES
 from shallotpoint.settings import BoundSettings, RouteSettings
+from shallotpoint.tasks import Tasks
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.bound import BoundClient
 
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -31,7 +31,6 @@
 from shallotpoint.coordination.overlay import neighbours
 from shallotpoint.coordination.peers import ConfigPort, Peers
 from shallotpoint.coordination.transport import NngTransport, Sealer
-from shallotpoint.daemons.tasks import Tasks
 from shallotpoint.httpd import HttpServer
 from shallotpoint.metrics import Metrics
 from shallotpoint.operators.app import operators_app
@@ -40,6 +39,7 @@
 from shallotpoint.platform_api.etcd import EtcdKeyValue
 from shallotpoint.platform_api.hosts import HttpHostList
 from shallotpoint.settings import Settings
+from shallotpoint.tasks import Tasks
 from shallotpoint.tls import client_context, reload_certificates, server_context
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.client import Timeouts, UpstreamClient
--- a/shallotpoint/daemons/tasks.py
+++ b/shallotpoint/tasks.py
@@ -1,4 +1,4 @@
-"""Background tasks of a daemon."""
+"""Background tasks of a part that runs for long."""
 
 from __future__ import annotations
 
--- a/shallotpoint/tests/test_limit_controller.py
+++ b/shallotpoint/tests/test_limit_controller.py
@@ -256,6 +256,15 @@
 
         self.assertTrue(self.play(scenario))
 
+    def test_late_answers_of_an_earlier_start_change_nothing(self):
+        async def scenario(fleet):
+            router = fleet.routers["r0"]
+            router.list_upstream(STARTED_MS + 1)
+            router.hear(1.2)
+            return router.book.allows("u1")
+
+        self.assertTrue(self.play(scenario))
+
     def test_permits_end_while_the_host_is_suspended(self):
         async def scenario(fleet):
             await fleet.all_hear()
@@ -292,9 +301,12 @@
             router = fleet.routers["r0"]
             for number in range(KEPT + 10):
                 router.limits.heard(f"x{number}", STARTED_MS, 1.2)
-            return len(router.gossip.get("r0", LIMITS_TOPIC).payload)
+            told = len(router.gossip.get("r0", LIMITS_TOPIC).payload)
+            return told, len(router.board.get(LimitsSection).limits)
 
-        self.assertThat(self.play(scenario), LessThan(32 * KEPT))
+        told, kept = self.play(scenario)
+        self.assertThat(told, LessThan(32 * KEPT))
+        self.assertEqual(KEPT, kept)
 
 
 class KeeperLostTests(TestCase):
