A want of nothing and an answer from before a limit's end no longer break a router's polls

Found by reading: a question that wants 0 requests of a tier divided by zero in its keeper, and a limit that ended and came again while a question was on its way left a reply without what had been asked, on which min() failed in the next poll. Both tests failed before. A reply holds no more permits than were asked for.

--- a/shallotpoint/controllers/limits.py
+++ b/shallotpoint/controllers/limits.py
@@ -301,7 +301,7 @@
         permit = Permit(reply.granted_s, reply.lease, asked_s + PERMIT_S)
         self._book.answered(
             ask.upstream,
-            [permit] * reply.permits,
+            [permit] * min(reply.permits, sum(ask.counts.values())),
             ask_s=now + reply.again_s,
             outlook=Outlook(
                 now, reply.queued, saved=reply.saved, per_s=reply.rate_per_s
--- a/shallotpoint/coordination/permits.py
+++ b/shallotpoint/coordination/permits.py
@@ -157,7 +157,7 @@
     def _part(self, count: int, tier: int, others: Counter[int]) -> int:
         """Return the permits for the wants of one tier beside those of others."""
         free = self._saved - sum(n for other, n in others.items() if other < tier)
-        if free < 1.0:
+        if not count or free < 1.0:
             return 0
         share = math.ceil(free * count / (count + others[tier]))
         return min(count, int(free), share)
--- a/shallotpoint/policy/limits.py
+++ b/shallotpoint/policy/limits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
@@ -113,7 +114,7 @@
             return True
         if self.outlook is None or self.outlook.at_s + URGENT_AGAIN_S > now:
             return False
-        return min(self.wishes) < min(self.asked)
+        return min(self.wishes) < min(self.asked, default=math.inf)
 
 
 class LimitBook:
--- a/shallotpoint/tests/test_limits.py
+++ b/shallotpoint/tests/test_limits.py
@@ -97,6 +97,15 @@
         sent = [a for a in self.router.poll(0.02) if isinstance(a, Send)]
         self.assertNotIn("u1", [a.upstream for a in sent])
 
+    def test_an_answer_from_before_the_limit_ended_and_came_again(self):
+        self.router.offer(0.0)
+        self.router.poll(0.0)
+        self.router.limits.lift("u1")
+        self.router.limits.limit("u1", 1.2)
+        self.router.grant("u1", 0.005, permits=0, ask_s=0.5)
+        self.router.limits.wish("u1", {2: 1})
+        self.assertEqual([Ask("u1", {2: 1})], self.router.limits.due(0.1))
+
     def test_a_permit_that_has_lapsed_is_not_used(self):
         self.router.offer(0.0)
         self.router.poll(0.0)
--- a/shallotpoint/tests/test_permits.py
+++ b/shallotpoint/tests/test_permits.py
@@ -104,6 +104,10 @@
         book.ask("two", {1: 4}, now=0.0)
         self.assertEqual(2, book.ask("one", {1: 4}, now=0.2).permits)
 
+    def test_a_want_of_nothing_gets_nothing(self):
+        book = PermitBook(20.0, now=0.0)
+        self.assertEqual(0, book.ask("one", {1: 0}, now=1.0).permits)
+
     def test_it_tells_what_all_want(self):
         book = PermitBook(2.0, now=0.0)
         for number in range(5):
