Polls of full pools do no work for limits where nothing is limited

Read again: with all upstreams full, each poll worked out the waiting requests by tier and the open upstreams for permits that nobody needs, at the very load at which polls are dearest. The book of limits kept a rate that nothing read. Behaviour and assertions as before.

--- a/shallotpoint/controllers/limits.py
+++ b/shallotpoint/controllers/limits.py
@@ -254,7 +254,7 @@
                 del limits[name]
                 self._book.lift(name)
         self._write(LimitsSection(limits))
-        self._book.limit(upstream, limit.per_s)
+        self._book.limit(upstream)
 
     def _lift(self, upstream: str) -> None:
         limits = dict(self._board.get(LimitsSection).limits)
--- a/shallotpoint/policy/limits.py
+++ b/shallotpoint/policy/limits.py
@@ -99,7 +99,6 @@
 class _Limited:
     """What is known here of one limited upstream."""
 
-    per_s: float
     permits: deque[Permit] = field(default_factory=deque)
     taken: deque[Seconds] = field(default_factory=deque)
     wishes: dict[int, int] = field(default_factory=dict)
@@ -125,7 +124,7 @@
     >>> book = LimitBook()
     >>> book.allows("u1")
     True
-    >>> book.limit("u1", 1.2); book.allows("u1")
+    >>> book.limit("u1"); book.allows("u1")
     False
     >>> book.wish("u1", {0: 1}); book.due(now=0.0)
     [Ask(upstream='u1', counts={0: 1})]
@@ -144,10 +143,9 @@
     def __bool__(self) -> bool:
         return bool(self._limited)
 
-    def limit(self, upstream: str, per_s: float) -> None:
+    def limit(self, upstream: str) -> None:
         """Let requests to an upstream pass only with a permit from now on."""
-        limited = self._limited.setdefault(upstream, _Limited(per_s))
-        limited.per_s = per_s
+        self._limited.setdefault(upstream, _Limited())
 
     def lift(self, upstream: str) -> None:
         """Let all requests to an upstream pass."""
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -389,7 +389,8 @@
         state = self._state
         free = state.open_upstreams()
         if not free:
-            self._wish_for_all(now)
+            if state.limits:
+                self._wish_for_all(now)
             return None
         open_slots = sum(
             self.upstreams[name].free for name in free if state.is_usable(name)
--- a/shallotpoint/tests/test_limits.py
+++ b/shallotpoint/tests/test_limits.py
@@ -34,7 +34,7 @@
             {upstream: Slots(credits=16, total=16) for upstream in upstreams}
         )
         for upstream in limited:
-            self.limits.limit(upstream, 1.2)
+            self.limits.limit(upstream)
         self.count = 0
 
     def offer(self, now, cls=OTHER, organisation="a"):
@@ -101,7 +101,7 @@
         self.router.offer(0.0)
         self.router.poll(0.0)
         self.router.limits.lift("u1")
-        self.router.limits.limit("u1", 1.2)
+        self.router.limits.limit("u1")
         self.router.grant("u1", 0.005, permits=0, ask_s=0.5)
         self.router.limits.wish("u1", {2: 1})
         self.assertEqual([Ask("u1", {2: 1})], self.router.limits.due(0.1))
