--- a/shallotpoint/coordination/gossip.py
+++ b/shallotpoint/coordination/gossip.py
@@ -14,7 +14,6 @@
 
 from shallotpoint.types import Seconds
 
-SILENT_AFTER_S = 3.0  # a member not heard of for this long counts as silent
 FORGET_AFTER_S = 60.0
 MAX_DELTA_BYTES = 256 << 10
 
@@ -130,16 +129,6 @@
                 fresh.append(row)
         return fresh
 
-    def is_silent(self, name: str, *, now: Seconds) -> bool:
-        """Return whether nothing new has come from a member for a while."""
-        member = self._members.get(name)
-        return member is None or now - member.heard_s > SILENT_AFTER_S
-
-    def heard_s(self, name: str) -> Seconds | None:
-        """Return when something new last came from a member."""
-        member = self._members.get(name)
-        return member.heard_s if member else None
-
     def members(self) -> list[str]:
         """Return the names of all members that have rows here."""
         return list(self._members)
