Plain services: a slow answer or a failure is not held against a server for ever

Cause: each router's answer time and failure share of a server changed only by new answers of it. A server that looked worse than the others got no calls, so that its record stayed: one failure cost 0.3 s for ever where calls take 0.03 s. Ruled out: an end of the limit that does not reach a router that asks; permits lost. Why this works: both records fall with age, and a new answer time counts for more the older the last one is. The two tests failed before (0.0 of the calls).

--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -51,6 +51,8 @@
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
 FAILURE_GAIN = 0.15  # weight of the newest outcome in the failure share
 FAILURE_WEIGHT_S = 2.0  # what a certain failure costs, in seconds of waiting
+ANSWER_HALF_S = 2.0  # an answer time counts half as much this much later
+FAILURE_HALF_S = 3.0  # so does a failure, which one call in some seconds may risk
 _DEAD = NOT_REACHED | {Result.UPSTREAM_TIMEOUT}
 
 
@@ -62,6 +64,27 @@
     avoid_s: Seconds = 0.0
     until_s: Seconds = 0.0
     answer_s: Seconds = 0.0
+    answered_s: Seconds = 0.0
+    failed_s: Seconds = 0.0
+
+    def answered(self, seen_s: Seconds, now: Seconds) -> None:
+        """Take in an answer time; it counts for more the older the others are."""
+        gain = max(FAILURE_GAIN, 1.0 - self._kept(now - self.answered_s, ANSWER_HALF_S))
+        self.answer_s += gain * (seen_s - self.answer_s)
+        self.answered_s = now
+
+    def cost_s(self, now: Seconds) -> tuple[Seconds, Seconds]:
+        """Return the answer time to expect, and what failures are expected to cost.
+
+        Both fall with age, as an upstream that is left alone shows nothing new.
+        """
+        answer_s = self.answer_s * self._kept(now - self.answered_s, ANSWER_HALF_S)
+        failing = self.failing * self._kept(now - self.failed_s, FAILURE_HALF_S)
+        return answer_s, failing * FAILURE_WEIGHT_S
+
+    @staticmethod
+    def _kept(age_s: Seconds, half_s: Seconds) -> float:
+        return 0.5 ** (max(0.0, age_s) / half_s)
 
 
 @dataclass(slots=True)
@@ -85,6 +108,7 @@
     def fail(self, upstream: str, reason: Result, now: Seconds) -> None:
         record = self[upstream]
         record.failing += FAILURE_GAIN * (1.0 - record.failing)
+        record.failed_s = now
         if reason not in _DEAD:
             return
         term_s = record.avoid_s * 2 or FIRST_AVOID_S
@@ -368,7 +392,8 @@
 
         def order(name: str) -> tuple[Seconds, int]:
             # Equal costs are spread over the upstreams.
-            return self._cost_s(state, name), rendezvous_score(name, course.ticket.id)
+            cost_s = self._cost_s(state, name, now)
+            return cost_s, rendezvous_score(name, course.ticket.id)
 
         return min(self._book.candidates(course, free, now), key=order, default=None)
 
@@ -377,8 +402,7 @@
         record = self._book[upstream]
         leg = course.leg_on(upstream)
         if leg is not None:
-            seen_s = now - leg.sent_s
-            record.answer_s += FAILURE_GAIN * (seen_s - record.answer_s)
+            record.answered(now - leg.sent_s, now)
         self._book.succeed(upstream)
 
     def failed(
@@ -387,10 +411,9 @@
         """Note a failed attempt."""
         self._book.fail(upstream, reason, now)
 
-    def _cost_s(self, state: PoolState, name: str) -> Seconds:
+    def _cost_s(self, state: PoolState, name: str, now: Seconds) -> Seconds:
         slots = state.upstreams[name]
-        record = self._book[name]
+        answer_s, failures_s = self._book[name].cost_s(now)
         load = (len(slots.running) + slots.elsewhere) / max(1, slots.total)
-        cost_s = (record.answer_s + FAR_S) * (1.0 + load)
-        cost_s += record.failing * FAILURE_WEIGHT_S
+        cost_s = (answer_s + FAR_S) * (1.0 + load) + failures_s
         return cost_s if slots.near else cost_s + FAR_S
--- a/shallotpoint/tests/test_route_placement.py
+++ b/shallotpoint/tests/test_route_placement.py
@@ -172,6 +172,37 @@
                 made.finished(name, place, now)
         self.assertThat(placed.count("s0"), LessThan(10))
 
+    def shares_after_trouble(self, trouble):
+        """Return where calls go from ten seconds after one of them met trouble."""
+        made = Scheduler(tuning=ROUTES, placement=ServicePlacement())
+        made.set_upstreams({f"s{n}": Slots(6, 6) for n in range(3)})
+        placed, harmed = [], None
+        for n in range(600):
+            name, now = f"c{n}", n * 0.05
+            [place] = self.send(made, ticket(name, at_s=now), now=now).values()
+            if harmed is None:
+                harmed = place
+                trouble(made, name, place, now)
+            else:
+                made.progress(name, place, 1, now + 0.02)
+                made.finished(name, place, now + 0.02)
+            if now >= 10.0:
+                placed.append(place)
+        return placed.count(harmed) / len(placed)
+
+    def test_one_slow_answer_is_not_held_against_a_service_for_ever(self):
+        def slow(made, name, place, now):
+            made.progress(name, place, 1, now + 1.0)
+            made.finished(name, place, now + 1.0)
+
+        self.assertThat(self.shares_after_trouble(slow), GreaterThan(0.2))
+
+    def test_nor_is_one_failure(self):
+        def failed(made, name, place, now):
+            made.failed(name, place, Result.RETRY_ERROR, now, may_retry=False)
+
+        self.assertThat(self.shares_after_trouble(failed), GreaterThan(0.2))
+
 
 class WaitTests(Pool):
     def test_prompt_waits_while_streams_crawl_and_is_sent_when_they_do_not(self):
