A copy of the configuration is left at a peer before it is older than the bound of 2 s

Cause, read and shown by tests: a router that takes its copy from a peer, as the service has turned it away or the fleet is large, accepted one up to 2.5 s old, waited a second and more at a peer that the service does not answer, 1.4 s at one that is silent, and stayed there for 10 s before it tried the service again. Ruled out: the path without a peer, which fails only with the router's own contact. Why this works: whoever passes a copy on says so once it is older than one poll and 0.3 s, also to a question that waits; who asks waits no longer than that age leaves; the preferred source is tried again after 3 s.

--- a/shallotpoint/controllers/route_config.py
+++ b/shallotpoint/controllers/route_config.py
@@ -13,7 +13,7 @@
 from shallotpoint.policy.configuration import Config, InvalidConfig
 from shallotpoint.types import Clock
 
-POLL_S = 1.5  # the view's age, which bounds how long a withdrawn key may be used
+POLL_S = 1.2  # the age of a view, also of a peer that is cut off, stays below 2 s
 
 _log = logging.getLogger(__name__)
 
--- a/shallotpoint/coordination/copies.py
+++ b/shallotpoint/coordination/copies.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from shallotpoint.coordination.follow import PrefixFollower
+from shallotpoint.coordination.follow import OLDER_S, PrefixFollower
 from shallotpoint.coordination.kv import (
     Change,
     Entry,
@@ -29,7 +29,6 @@
 
 WAIT_S = 1.0  # a router that falls silent is left well within a withdrawal's bound
 TRAVEL_S = 0.4  # many times a message between data centres of one region
-OLDER_S = 1.0  # a copy is passed on up to this long past its next confirmation
 
 Ask = Callable[[bytes, Seconds], Awaitable[bytes]]
 
@@ -154,6 +153,10 @@
         copy = follower.copy
         if question.after != _ALL and not copy.changes_since(question.after):
             wait_s = min(WAIT_S, max(0, question.wait_ms) / 1000)
+            age_s = follower.age_s(asked_s)
+            if age_s is not None:
+                # Who asks turns elsewhere as soon as the copy is too old.
+                wait_s = min(wait_s, max(0.0, follower.wait_s + OLDER_S - age_s))
             await follower.wait_for_proof(wait_s)
         answer = self._answer_from(follower, question.after)
         held_ms = int((self._clock() - asked_s) * 1000)
@@ -163,7 +166,7 @@
         copy = follower.copy
         age_s = follower.age_s(self._clock())
         oldest_s = follower.wait_s + OLDER_S
-        if age_s is None or age_s > oldest_s or copy.is_lost:
+        if age_s is None or age_s >= oldest_s or copy.is_lost:
             return _Answer(-1)
         age_ms = math.ceil(age_s * 1000)
         if after == _ALL:
--- a/shallotpoint/coordination/follow.py
+++ b/shallotpoint/coordination/follow.py
@@ -27,8 +27,10 @@
 RETRY_S = 0.1  # first pause after a failed call
 LONGEST_RETRY_S = 0.8  # well below the age at which a view is no longer trusted
 RECENT_CHANGES = 512  # more than fall into the time that a peer is behind
-PREFER_AGAIN_S = 10.0  # a source that failed is tried again after this time
+PREFER_AGAIN_S = 3.0  # a source that failed is tried again after this time
+OLDER_S = 0.3  # a copy is passed on up to this long past its next confirmation
 TRIAL_WAIT_S = 0.2  # wait of the first poll after a failure, for a proof soon
+ANSWER_S = 0.4  # kept of a copy's longest age for an answer that does not come
 GAP_S = 2.0  # no answer for this long is an outage, in which leases may end
 
 _log = logging.getLogger(__name__)
@@ -267,6 +269,8 @@
         wait_s = min(self.wait_s, source.longest_wait_s)
         if in_doubt or self.copy.doubtful or self.copy.is_lost:
             wait_s = min(wait_s, TRIAL_WAIT_S)
+        left_s = self.wait_s + OLDER_S - (self.age_s(started_s) or 0.0)
+        wait_s = min(wait_s, max(TRIAL_WAIT_S, left_s - ANSWER_S))
         poll = await source.poll(self.prefix, self.copy.revision, wait_s)
         now = self._clock()
         held_s = poll.held_s
--- a/shallotpoint/tests/test_copies.py
+++ b/shallotpoint/tests/test_copies.py
@@ -7,13 +7,18 @@
 from testtools.matchers import GreaterThan, LessThan
 
 from shallotpoint.coordination.copies import (
-    OLDER_S,
     TRAVEL_S,
     WAIT_S,
     CopyServer,
     PeerSource,
 )
-from shallotpoint.coordination.follow import GAP_S, RECENT_CHANGES, PrefixFollower
+from shallotpoint.coordination.follow import (
+    GAP_S,
+    OLDER_S,
+    RECENT_CHANGES,
+    TRIAL_WAIT_S,
+    PrefixFollower,
+)
 from shallotpoint.coordination.kv import Delete, HistoryLost, Put, Unavailable
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.coordination.transport import TransportError
@@ -189,6 +194,29 @@
 
         self.assertThat(self.play(scenario), LessThan(WAIT_S + TRAVEL_S))
 
+    def test_reader_that_the_service_does_not_answer_is_left(self):
+        async def scenario(group):
+            group.kv.faults.delay_s = 30.0
+            await asyncio.sleep(group.reader.wait_s)  # a poll may be on its way
+            started_s = time.monotonic()
+            await group.own_kv.txn([], [Put("p/b", b"2")])
+            await eventually(lambda: "p/b" in group.values(), timeout_s=4.0)
+            return time.monotonic() - started_s, group.reader.wait_s
+
+        took_s, wait_s = self.play(scenario)
+        self.assertThat(took_s, LessThan(wait_s + OLDER_S + 0.2))
+
+    def test_silent_reader_is_left_before_its_copy_is_too_old(self):
+        async def scenario(group):
+            group.kv.faults.delay_s = 30.0
+            await asyncio.sleep(0.5)
+            group.silent = True
+            await eventually(lambda: group.own_kv.counts.watches, timeout_s=4.0)
+            return group.follower.age_s(group.clock()), group.follower.wait_s
+
+        age_s, wait_s = self.play(scenario)
+        self.assertThat(age_s, LessThan(wait_s + TRIAL_WAIT_S + TRAVEL_S + 0.1))
+
     def test_key_that_lapses_in_an_outage_of_the_service_keeps_its_grace(self):
         async def scenario(group):
             group.kv.faults.down = group.own_kv.faults.down = True
