Permits are handed out again at once after the key-value service was away, or with its keeper lost meanwhile

Where all servers of a service are limited, all of its requests would be refused for as long. Cause: a router asked for permits goes by its copy of the leases. That copy is late after an outage: its poll of 10 s hangs. The router that had lost the lease took the entry for one of a process before it and said 'later'; the others sent everyone to it. Why this works: the lease, not the copy, decides. A try for it fails while it is held, so that a late copy costs two calls in 0.25 s and never a second keeper. A question names the holder that gave no answer, so that another candidate tries.

--- a/shallotpoint/controllers/limits.py
+++ b/shallotpoint/controllers/limits.py
@@ -330,6 +330,9 @@
         )
         reply = UNABLE
         for router in self._candidates(incarnation):
+            holder = self._holder_of(incarnation)
+            if holder is not None and self._is_unreached(holder):
+                question = msgspec.structs.replace(question, unreached=holder)
             asked_s = self._lasting()
             reply = await self._send(router, question)
             if reply.code is Code.ELSEWHERE and not self._is_avoided(reply.router):
@@ -366,6 +369,9 @@
         host = self._board.get(HostsSection).find(incarnation.upstream)
         return host is not None and host.started_ms == incarnation.started_ms
 
+    def _is_unreached(self, router: str) -> bool:
+        return self._is_avoided(router) or router in self._silent()
+
     def _is_avoided(self, router: str) -> bool:
         return self._avoided.get(router, -math.inf) > self._lasting()
 
--- a/shallotpoint/controllers/permit_keeper.py
+++ b/shallotpoint/controllers/permit_keeper.py
@@ -56,6 +56,8 @@
         The limit as the member knows it.
     counts : dict
         Requests that would go to the upstream now, by tier.
+    unreached : str
+        The router that holds the lease by the last entries but gave no answer.
     """
 
     member: str
@@ -64,6 +66,7 @@
     per_s: Amount
     counts: dict[int, Count]
     named: Named | None = None
+    unreached: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
@@ -186,10 +189,9 @@
         kept = self._kept.get(question.incarnation)
         if kept is None:
             router = self._holder_of(question.incarnation)
-            if router is not None:
-                # A lease of this router's own is that of a process before it.
-                known = Reply(Code.ELSEWHERE, router)
-                return LATER if router == self._name else known
+            # Entries may be late: whether a lease has lapsed, a try to take it shows.
+            if router not in (None, self._name, question.unreached):
+                return Reply(Code.ELSEWHERE, router)
             kept = self._keep(question)
         now = self._clock()
         if kept.code is not Code.GRANTED:
--- a/shallotpoint/tests/test_limit_controller.py
+++ b/shallotpoint/tests/test_limit_controller.py
@@ -9,7 +9,7 @@
 
 from shallotpoint.blackboard import Blackboard
 from shallotpoint.controllers.limits import KEPT, LIMITS_TOPIC, LimitController
-from shallotpoint.controllers.permit_keeper import LEASE_S
+from shallotpoint.controllers.permit_keeper import LEASE_S, RENEW_S
 from shallotpoint.controllers.sections import HostsSection, LimitsSection
 from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
@@ -328,3 +328,43 @@
             return got
 
         self.assertNotEqual(0, self.run_async(main()))
+
+
+class StaleEntryTests(TestCase):
+    """The copy of the leases is late, as it is after the service was away."""
+
+    def permits_within(self, lose, seconds=2.0):
+        async def main():
+            fleet = Fleet()
+            await fleet.all_hear()
+            keeper = fleet.keeper()
+            await lose(fleet, keeper)
+            fleet.clock.advance(LEASE_S)
+            fleet.kv.store.expire(fleet.clock())
+            got = 0
+            for _ in range(int(seconds / 0.1)):
+                for router in fleet:
+                    if router.name not in fleet.cut:
+                        got += await router.ask(count=3)
+                await asyncio.sleep(0.03)  # a try for the lease fails once in a while
+                fleet.clock.advance(0.1)
+            for router in fleet:
+                await router.limits.close()
+            return got
+
+        return self.run_async(main(), timeout_s=20.0)
+
+    def test_limited_upstream_idle_after_the_service_was_away(self):
+        async def lose(fleet, keeper):
+            fleet.kv.faults.down = True
+            fleet.clock.advance(LEASE_S)
+            await asyncio.sleep(RENEW_S + 0.1)
+            fleet.kv.faults.down = False
+
+        self.assertThat(self.permits_within(lose), GreaterThan(0))
+
+    def test_limited_upstream_idle_after_its_keeper_was_lost(self):
+        async def lose(fleet, keeper):
+            fleet.cut.add(keeper.name)
+
+        self.assertThat(self.permits_within(lose), GreaterThan(0))
