--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -95,8 +95,9 @@
         misdirected = "x-misdirected" in headers
         not_run = misdirected or "x-not-run" in headers
         closed = headers.get("x-closed-s")
+        named = [v for name, v in headers.items() if name.lower() == "x-request-id"]
         return AnswerFacts(
-            headers.get("x-request-id"),
+            ", ".join(named),
             not_run,
             misdirected,
             leaving="x-leaving" in headers,
