A stop that comes as a loop wakes up is kept: three loops went on after their cancel

All answers were in; the router's stop never ended, as the task that shares credits was still in its loop when the test's time was over (traceback of that run). Cause: asyncio.wait_for before Python 3.12 returns the result, and drops the cancel, when both come between two turns of the event loop. The loop around it goes on, and whoever stops it waits for ever. Three loops did so: sharing of credits, exchange with peers, and the reload of settings; the middle one runs in routers of both kinds, so that a router could outlive SIGTERM. Ruled out: an answer that never came (the calls had all returned before the fleet's end), load (the test takes 11 s beside nothing; the new test needs no load).

--- a/shallotpoint/controllers/credits.py
+++ b/shallotpoint/controllers/credits.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import msgspec
@@ -26,6 +25,7 @@
 from shallotpoint.coordination.credits import CreditLedger
 from shallotpoint.coordination.gossip import Board, Row
 from shallotpoint.policy.poison import CrashReport
+from shallotpoint.tasks import wait_set
 from shallotpoint.types import Clock, Seconds
 
 SLOW_TOPIC = "slow"
@@ -120,8 +120,7 @@
         """Rebalance and publish, until cancelled."""
         while True:
             self.tick()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._due.wait(), TICK_S)
+            if await wait_set(self._due, TICK_S):
                 await asyncio.sleep(self._ticked_s + MIN_TICK_S - self._clock())
 
     def tick_soon(self) -> None:
--- a/shallotpoint/coordination/peers.py
+++ b/shallotpoint/coordination/peers.py
@@ -21,6 +21,7 @@
 from shallotpoint.coordination.overlay import FULL_MESH_UP_TO
 from shallotpoint.coordination.transport import Transport, TransportError
 from shallotpoint.hashing import hash64
+from shallotpoint.tasks import wait_set
 from shallotpoint.types import Clock, Seconds
 
 PROTOCOL_VERSION = 1
@@ -207,10 +208,7 @@
             await self.round(addresses(), urgent=urgent)
             await asyncio.sleep(MIN_PAUSE_S)
             pause_s = every_s * self._rng.uniform(0.8, 1.2)
-            try:
-                await asyncio.wait_for(self._news.wait(), pause_s)
-            except TimeoutError:
-                continue
+            await wait_set(self._news, pause_s)
 
     async def round(
         self, addresses: Mapping[str, str], *, urgent: bool = False
--- a/shallotpoint/daemons/serving.py
+++ b/shallotpoint/daemons/serving.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import os
 import signal
@@ -13,6 +12,7 @@
 from shallotpoint.logs import set_up_bounded_logging
 from shallotpoint.loop import run_loop, stop_signal
 from shallotpoint.settings import RouteSettings, load_route_settings
+from shallotpoint.tasks import wait_set
 from shallotpoint.types import Seconds
 
 SETTINGS_POLL_S = 0.5  # settings may change without a signal
@@ -52,9 +52,7 @@
     """Take over changed settings, on SIGHUP or when the file is another one."""
     seen = _stamp(path)
     while True:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(reload.wait(), SETTINGS_POLL_S)
-        asked = reload.is_set()
+        asked = await wait_set(reload, SETTINGS_POLL_S)
         reload.clear()
         stamp = _stamp(path)
         if stamp == seen and not asked:
--- a/shallotpoint/tasks.py
+++ b/shallotpoint/tasks.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Coroutine
 from typing import Any
 
+from shallotpoint.types import Seconds
+
 _log = logging.getLogger("shallotpoint.router")
 
 
@@ -31,6 +34,18 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def wait_set(event: asyncio.Event, timeout_s: Seconds) -> bool:
+    """Wait for an event, for some time at most; return whether it is set.
+
+    ``asyncio.wait_for`` drops a cancel that comes as the event is set, so that a loop
+    around it goes on after it was stopped.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    return event.is_set()
+
+
 def _log_death(task: asyncio.Task) -> None:
     if not task.cancelled() and task.exception() is not None:
         _log.error("task %s died", task.get_name(), exc_info=task.exception())
--- /dev/null
+++ b/shallotpoint/tests/test_tasks.py
@@ -0,0 +1,63 @@
+import asyncio
+from unittest import mock
+
+from shallotpoint.controllers.credits import SharingController
+from shallotpoint.tasks import Tasks, wait_set
+from shallotpoint.testing.cases import TestCase
+
+TURNS = 6  # of the event loop; more than a wake-up takes
+
+
+class WakeUpTests(TestCase):
+    """A stop may come in any turn of the loop between a wake-up and its task."""
+
+    async def is_stopped(self, main, wake_up, turns):
+        tasks = Tasks()
+        tasks.start("loop", main)
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        wake_up()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        stopping = asyncio.create_task(tasks.stop())
+        _, pending = await asyncio.wait([stopping], timeout=0.5)
+        stopping.cancel()
+        return not pending
+
+    def test_a_stop_is_not_lost_in_a_wake_up(self):
+        async def main(turns):
+            event = asyncio.Event()
+
+            async def loop():
+                while True:
+                    await wait_set(event, 10.0)
+                    event.clear()
+
+            return await self.is_stopped(loop(), event.set, turns)
+
+        stopped = [self.run_async(main(turns)) for turns in range(TURNS)]
+        self.assertEqual([True] * TURNS, stopped)
+
+    def test_a_router_that_shares_credits_stops_though_a_tick_is_due(self):
+        async def main(turns):
+            loop = asyncio.get_running_loop()
+            names = ("board", "gossip", "pools", "ledger")
+            parts = [mock.MagicMock(name=name) for name in names]
+            credits = SharingController(
+                *parts, name="r", clock=loop.time, on_news=lambda: None
+            )
+            credits._ticked_s = loop.time()
+            with mock.patch.object(credits, "tick"):
+                return await self.is_stopped(credits.run(), credits.tick_soon, turns)
+
+        stopped = [self.run_async(main(turns)) for turns in range(TURNS)]
+        self.assertEqual([True] * TURNS, stopped)
+
+    def test_a_wait_that_is_over_says_whether_the_event_was_set(self):
+        async def main():
+            event = asyncio.Event()
+            before = await wait_set(event, 0.01)
+            event.set()
+            return before, await wait_set(event, 0.01)
+
+        self.assertEqual((False, True), self.run_async(main()))
