Signals that come until a router's process is gone do not end it

Cause: the loop's own handlers are removed as the loop closes, and a signal gets its default action back, an end, while the process still shuts down. Ruled out: work in flight (the log says none), a reload that failed (nothing logged). Fix: on_signals installs handlers that outlive the loop's work, and ignores the signals from then on; stops and reloads of the router use it.

--- a/shallotpoint/daemons/serving.py
+++ b/shallotpoint/daemons/serving.py
@@ -10,7 +10,7 @@
 
 from shallotpoint.daemons.route_router import Edges, RouteRouter
 from shallotpoint.logs import set_up_bounded_logging
-from shallotpoint.loop import run_loop, stop_signal
+from shallotpoint.loop import STOP_SIGNALS, on_signals, run_loop
 from shallotpoint.settings import RouteSettings, load_route_settings
 from shallotpoint.tasks import wait_set
 from shallotpoint.types import Seconds
@@ -35,17 +35,17 @@
 
 
 async def _serve(path: str, settings: RouteSettings, make_edges) -> None:
-    stop, reload = stop_signal(), asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload.set)
+    stop, reload = asyncio.Event(), asyncio.Event()
     router = RouteRouter(settings, make_edges(settings))
-    async with router.running():
-        _log.info("started", extra={"callers": settings.listen.callers})
-        reloading = asyncio.create_task(_reload(path, router, reload))
-        try:
-            await stop.wait()
-        finally:
-            reloading.cancel()
-        await router.stop()
+    with on_signals(STOP_SIGNALS, stop.set), on_signals([signal.SIGHUP], reload.set):
+        async with router.running():
+            _log.info("started", extra={"callers": settings.listen.callers})
+            reloading = asyncio.create_task(_reload(path, router, reload))
+            try:
+                await stop.wait()
+            finally:
+                reloading.cancel()
+            await router.stop()
 
 
 async def _reload(path: str, router: RouteRouter, reload: asyncio.Event) -> None:
