TIER: where an engine's streams crawl, the least urgent work waits first

Ruled out: prompts being read (none was sent for 1.6 s and the pauses stayed); order within a router (it is by tier; letting reports wait for waiting summaries did not help, tried before). Fix: between 0.18 and 0.27 s only the least urgent of the pool's work waits.

--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -4,8 +4,9 @@
 reads a long prompt in chunks between the tokens of its streams, so that each of
 them pauses.  All routers therefore agree, from the list of engines alone, on a part
 of the engines that streams with the tightest pauses use first and long prompts
-last.  A prompt that shares its start with others goes where that start was read,
-unless the wait there is longer than reading it again.
+last.  Where an engine's streams crawl, the least urgent work waits first, as its long
+answers would keep the engine full.  A prompt that shares its start with others goes
+where that start was read, unless the wait there is longer than reading it again.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
     EngineLoad,
     PeerLoad,
 )
+from shallotpoint.policy.model import ServiceClass
 from shallotpoint.policy.placement import Placement
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.policy.state import PoolState
@@ -46,6 +48,7 @@
 TIGHT_SLACK = 1.0  # a tight stream leaves its part if it gains its whole target
 OTHER_SLACK = 1.5  # other work is refused before it would come among tight streams
 MOST_GAP_S = 0.18  # 64 events, a usual long answer, then take 12 of 15 s
+URGENT_GAP_RATIO = 1.5  # the room between is for work that is not the least urgent
 NO_TARGET_S = 1.0  # used for work without a target
 FIRST_AVOID_S = 0.5  # an upstream that cannot be reached is left alone this long
 LONGEST_AVOID_S = 4.0  # a dead one is tried once in this time
@@ -202,7 +205,7 @@
         tier = course.ticket.service_class.tier
         layout = self._layout_of(state, now)
         pause_s = self._pause_s = tightest_pause_s(state)
-        tight = _is_tight(course, pause_s)
+        tight = _is_tight(course.ticket.service_class, pause_s)
         homes = layout.homes(prompt.family, tight)
         candidates = self._book.candidates(course, free, now)
         best: tuple[float, str] | None = None
@@ -215,7 +218,7 @@
                 cost_s += FAR_S
             if best is None or (cost_s, name) < best:
                 best = (cost_s, name)
-        if best is None or (not tight and self._is_busy(best[1], now)):
+        if best is None or (not tight and self._is_busy(best[1], state, tier, now)):
             return None
         return best[1]
 
@@ -223,7 +226,7 @@
         """Note that a request was sent."""
         ticket = course.ticket
         prompt = ticket.prompt or Prompt()
-        tight = _is_tight(course, self._pause_s)
+        tight = _is_tight(ticket.service_class, self._pause_s)
         tier = ticket.service_class.tier
         self.load(upstream).send(ticket.id, prompt, tier, now, tight=tight)
 
@@ -257,12 +260,21 @@
         for name, peers in loads.items():
             self.load(name).peers = peers
 
-    def _is_busy(self, name: str, now: Seconds) -> bool:
+    def _is_busy(self, name: str, state: PoolState, tier: int, now: Seconds) -> bool:
         """Return whether one more prompt would keep streams from going on.
 
-        An engine writes no faster than one token a chunk while it reads.
+        An engine writes no faster than one token a chunk while it reads, and slower
+        the more it answers.
         """
-        return self.load(name).current_gap_s(now) > MOST_GAP_S
+        gap_s = self.load(name).current_gap_s(now)
+        if gap_s <= MOST_GAP_S or gap_s > MOST_GAP_S * URGENT_GAP_RATIO:
+            return gap_s > MOST_GAP_S
+        tiers = (
+            cls.tier
+            for cls in state.classes.values()
+            if not _is_tight(cls, self._pause_s)
+        )
+        return tier >= max(tiers, default=tier)
 
     def _unread(
         self, name: str, prompt: Prompt, homes: Sequence[str], now: Seconds
@@ -370,12 +382,11 @@
     return min(known, default=None)
 
 
-def _is_tight(course: Course, tightest_s: Seconds | None) -> bool:
-    """Return whether a stream's pauses are among the tightest of the pool."""
-    pause_s = course.ticket.service_class.tbt_s
-    if pause_s is None or tightest_s is None:
+def _is_tight(cls: ServiceClass, tightest_s: Seconds | None) -> bool:
+    """Return whether a class's pauses are among the tightest of the pool."""
+    if cls.tbt_s is None or tightest_s is None:
         return False
-    return pause_s <= tightest_s * TIGHT_RATIO
+    return cls.tbt_s <= tightest_s * TIGHT_RATIO
 
 
 class ServicePlacement(Placement):
--- a/shallotpoint/tests/replay.py
+++ b/shallotpoint/tests/replay.py
@@ -20,10 +20,6 @@
 from shallotpoint.policy.ticket import Ticket
 from shallotpoint.policy.tuning import ROUTES
 
-CHUNK = 2_048
-TOKENS_PER_MS = 57.0
-STEP_S = 0.0031
-SLOT_S = 0.0001
 STRIDE = 6
 NEWS_S = 0.5  # a row takes about two rounds of the overlay to reach all
 
@@ -46,6 +42,7 @@
 
 
 QUESTION = stream_route("question", 0.6, 0.25, 0, 12.0)
+SUMMARY = stream_route("summary", 1.2, 0.4, 1, 3.0)
 REPORT = stream_route("report", 2.5, 1.0, 2, 15.0)
 
 
@@ -66,6 +63,27 @@
         return self.started_s - self.ticket.arrived_s <= limit_s
 
 
+@dataclass(frozen=True)
+class Pace:
+    """How fast an engine reads and writes.
+
+    Attributes
+    ----------
+    chunk : int
+        Prompt tokens read in one step at the most.
+    step_s, slot_s : float
+        Length of a step that reads nothing, in seconds, and what each stream adds.
+    """
+
+    chunk: int = 2_048
+    tokens_per_ms: float = 57.0
+    step_s: float = 0.0031
+    slot_s: float = 0.0001
+
+
+CROWDED = Pace(chunk=8_192, tokens_per_ms=125.0, step_s=0.00327, slot_s=0.0006)
+
+
 @dataclass
 class Engine:
     """An engine that runs up to ``slots`` requests; the others wait by tier.
@@ -82,6 +100,7 @@
     slots: int = 64
     memory: int = 1 << 40
     seen: set[str] = field(default_factory=set)
+    pace: Pace = Pace()
     read: float = 0.0
     read_again: float = 0.0
     waiting: list[Work] = field(default_factory=list)
@@ -118,14 +137,14 @@
 
     def step(self):
         """Return the length of the next step and what it brings."""
-        took_s = STEP_S + SLOT_S * len(self.writing)
+        took_s = self.pace.step_s + self.pace.slot_s * len(self.writing)
         for work in self.writing:
             work.tokens += 1
         if self.reading:
             work = self.reading[0]
-            chunk = min(CHUNK, work.unread)
+            chunk = min(self.pace.chunk, work.unread)
             work.unread -= chunk
-            took_s += chunk / TOKENS_PER_MS / 1000
+            took_s += chunk / self.pace.tokens_per_ms / 1000
             if work.unread <= 0:
                 self.reading.pop(0)
                 work.tokens = STRIDE
@@ -149,10 +168,11 @@
         placement=EnginePlacement,
         routes=(),
         memory=1 << 40,
+        pace=Pace(),
     ):
         seen = set()
         self.engines = {
-            f"e{n}": Engine(f"e{n}", slots, memory, seen) for n in range(engines)
+            f"e{n}": Engine(f"e{n}", slots, memory, seen, pace) for n in range(engines)
         }
         self.schedulers = []
         for _ in range(routers):
@@ -182,6 +202,10 @@
             count += 1
             if kind == "arrive":
                 self._arrive(what, now)
+                if what.ticket.limit_s is not None:
+                    heapq.heappush(events, (what.ticket.limit_s, count, "leave", what))
+            elif kind == "leave":
+                self._leave(what, now)
             elif kind == "news":
                 self._spread_news(now)
                 heapq.heappush(events, (now + NEWS_S, count, "news", None))
@@ -200,6 +224,12 @@
         if not isinstance(scheduler.offer(work.ticket, now), Admitted):
             self.refused.append(work)
 
+    def _leave(self, work, now):
+        """Let a caller go whose time is over."""
+        self.at[work.ticket.id].abandon(work.ticket.id, now)
+        if work.ended_s is None and work.ticket.id in self.on:
+            self.engines[self.on[work.ticket.id]].drop(work)
+
     def _spread_news(self, now):
         """Tell all what was noted last time, and note what there is now."""
         if isinstance(self.schedulers[0].placement, EnginePlacement):
@@ -254,6 +284,12 @@
     return _work(REPORT, f"r{number}", at_s, own, families, rng.randint(30, 100), rng)
 
 
+def summary(number, at_s, rng):
+    """A prompt of middle length with a short answer."""
+    own = min(8_000, int(rng.lognormvariate(7.2, 0.7)))
+    return _work(SUMMARY, f"s{number}", at_s, own, 20, rng.randint(2, 6), rng)
+
+
 def _work(route, name, at_s, own, families, events, rng):
     family = f"{route.name}-{rng.randrange(families)}"
     shared = PromptPart(family, 4_800 if route is REPORT else 100)
@@ -277,12 +313,20 @@
     return sum(holds(work) for work in works) / len(works)
 
 
-def crest(seed, *, questions_per_s, reports_per_s, length_s, families=60):
-    """Return arrivals of both kinds, in random order."""
+def crest(
+    seed, *, questions_per_s, reports_per_s, length_s, families=60, summaries_per_s=0.0
+):
+    """Return arrivals of all kinds, in random order."""
     rng = random.Random(seed)
     arrivals = []
     reports = functools.partial(report, families=families)
-    for rate, make in ((questions_per_s, question), (reports_per_s, reports)):
+    for rate, make in (
+        (questions_per_s, question),
+        (summaries_per_s, summary),
+        (reports_per_s, reports),
+    ):
+        if not rate:
+            continue
         at_s, number = 0.0, 0
         while (at_s := at_s + rng.expovariate(rate)) < length_s:
             number += 1
--- a/shallotpoint/tests/test_route_placement.py
+++ b/shallotpoint/tests/test_route_placement.py
@@ -24,7 +24,15 @@
 from shallotpoint.policy.tuning import ROUTES
 from shallotpoint.results import Result
 from shallotpoint.testing.cases import TestCase
-from shallotpoint.tests.replay import QUESTION, REPORT, Replay, crest, share_of
+from shallotpoint.tests.replay import (
+    CROWDED,
+    QUESTION,
+    REPORT,
+    SUMMARY,
+    Replay,
+    crest,
+    share_of,
+)
 
 
 def ticket(name, route=REPORT, *, family="f", own=5_000, at_s=0.0):
@@ -260,6 +268,45 @@
             self.patch(route_placement, "OTHER_SLACK", OTHER_SLACK)
 
 
+class UrgencyTests(TestCase):
+    """Summaries beside less urgent, longer reports, more of both than engines can take.
+
+    The bound is the users' rule: in no five seconds in which reports begin, ten
+    summaries and over a twelfth of them get nothing.
+    """
+
+    SPAN_S = 5.0
+
+    def worst(self, seed, *, engines, rates):
+        names = ("questions_per_s", "summaries_per_s", "reports_per_s")
+        arrivals = crest(
+            seed, length_s=12.0, families=20, **dict(zip(names, rates, strict=True))
+        )
+        Replay(engines=engines, routers=9, routes=(SUMMARY,), pace=CROWDED).run(
+            arrivals, until_s=25.0
+        )
+        return max(self.starved(arrivals, at_s) for at_s in range(8))
+
+    def starved(self, arrivals, from_s):
+        def in_span(at_s):
+            return at_s is not None and from_s <= at_s < from_s + self.SPAN_S
+
+        def of(route):
+            return [w for _, w in arrivals if w.ticket.service_class.name == route.name]
+
+        if not any(in_span(work.started_s) for work in of(REPORT)):
+            return 0
+        summaries = [w for w in of(SUMMARY) if in_span(w.ticket.arrived_s)]
+        nothing = sum(not w.began_within(SUMMARY.timeout_s) for w in summaries)
+        return nothing if nothing > len(summaries) / 12 else 0
+
+    def test_tier_summaries_begin_while_engines_are_full_of_reports(self):
+        loads = ((2, (6, 15, 6)), (3, (12, 18, 9)), (5, (10, 40, 15)))
+        for seed, (engines, rates) in enumerate((*loads, loads[0]), 1):
+            found = self.worst(seed, engines=engines, rates=rates)
+            self.assertThat(found, LessThan(10), f"seed {seed}, {engines} engines")
+
+
 class ShortlistTests(Pool):
     def test_an_engine_that_was_tried_is_replaced_by_another(self):
         made = self.make(engines=40)
