One function for what halves with age, one property for the oldest copy that is passed on

No change of behaviour: the same expressions stood in three places each, and the wait for a proof was tasks.wait_set written again.

--- a/shallotpoint/coordination/copies.py
+++ b/shallotpoint/coordination/copies.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from shallotpoint.coordination.follow import OLDER_S, PrefixFollower
+from shallotpoint.coordination.follow import PrefixFollower
 from shallotpoint.coordination.kv import (
     Change,
     Entry,
@@ -156,7 +156,7 @@
             age_s = follower.age_s(asked_s)
             if age_s is not None:
                 # Who asks turns elsewhere as soon as the copy is too old.
-                wait_s = min(wait_s, max(0.0, follower.wait_s + OLDER_S - age_s))
+                wait_s = min(wait_s, max(0.0, follower.oldest_s - age_s))
             await follower.wait_for_proof(wait_s)
         answer = self._answer_from(follower, question.after)
         held_ms = int((self._clock() - asked_s) * 1000)
@@ -165,8 +165,7 @@
     def _answer_from(self, follower: PrefixFollower, after: Revision) -> _Answer:
         copy = follower.copy
         age_s = follower.age_s(self._clock())
-        oldest_s = follower.wait_s + OLDER_S
-        if age_s is None or age_s >= oldest_s or copy.is_lost:
+        if age_s is None or age_s >= follower.oldest_s or copy.is_lost:
             return _Answer(-1)
         age_ms = math.ceil(age_s * 1000)
         if after == _ALL:
--- a/shallotpoint/coordination/follow.py
+++ b/shallotpoint/coordination/follow.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import random
 from collections import deque
@@ -22,6 +21,7 @@
     KeyValueError,
     Source,
 )
+from shallotpoint.tasks import wait_set
 from shallotpoint.types import Clock, Revision, Seconds
 
 RETRY_S = 0.1  # first pause after a failed call
@@ -216,11 +216,14 @@
         """Return the time since the copy was last proved current, in seconds."""
         return self.copy.age_s(now)
 
+    @property
+    def oldest_s(self) -> Seconds:
+        """Age up to which the copy is passed on, in seconds."""
+        return self.wait_s + OLDER_S
+
     async def wait_for_proof(self, timeout_s: Seconds) -> None:
         """Return after the next answer of a source, or when the time is over."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await self._proof.wait()
+        await wait_set(self._proof, timeout_s)
 
     async def run(self) -> None:
         """Follow the prefix, until cancelled."""
@@ -269,7 +272,7 @@
         wait_s = min(self.wait_s, source.longest_wait_s)
         if in_doubt or self.copy.doubtful or self.copy.is_lost:
             wait_s = min(wait_s, TRIAL_WAIT_S)
-        left_s = self.wait_s + OLDER_S - (self.age_s(started_s) or 0.0)
+        left_s = self.oldest_s - (self.age_s(started_s) or 0.0)
         wait_s = min(wait_s, max(TRIAL_WAIT_S, left_s - ANSWER_S))
         poll = await source.poll(self.prefix, self.copy.revision, wait_s)
         now = self._clock()
--- a/shallotpoint/policy/engine_load.py
+++ b/shallotpoint/policy/engine_load.py
@@ -11,6 +11,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from shallotpoint.policy.decay import half_life
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.types import Seconds
 
@@ -152,7 +153,7 @@
         """Return the pace; a bad one is forgotten while nothing is sent."""
         if self.pace <= 1.0:
             return self.pace
-        return 1.0 + (self.pace - 1.0) * 0.5 ** ((now - self.paced_s) / PACE_FORGET_S)
+        return 1.0 + (self.pace - 1.0) * half_life(now - self.paced_s, PACE_FORGET_S)
 
     @property
     def batch(self) -> int:
--- a/shallotpoint/policy/route_placement.py
+++ b/shallotpoint/policy/route_placement.py
@@ -17,6 +17,7 @@
 
 from shallotpoint.coordination.overlay import rank, rendezvous_score
 from shallotpoint.hashing import hash64
+from shallotpoint.policy.decay import half_life
 from shallotpoint.policy.engine_load import (
     EngineLoad,
     PeerLoad,
@@ -72,7 +73,7 @@
 
     def answered(self, seen_s: Seconds, now: Seconds) -> None:
         """Take in an answer time; it counts for more the older the others are."""
-        gain = max(FAILURE_GAIN, 1.0 - self._kept(now - self.answered_s, ANSWER_HALF_S))
+        gain = max(FAILURE_GAIN, 1.0 - half_life(now - self.answered_s, ANSWER_HALF_S))
         self.answer_s += gain * (seen_s - self.answer_s)
         self.answered_s = now
 
@@ -81,14 +82,10 @@
 
         Both fall with age, as an upstream that is left alone shows nothing new.
         """
-        answer_s = self.answer_s * self._kept(now - self.answered_s, ANSWER_HALF_S)
-        failing = self.failing * self._kept(now - self.failed_s, FAILURE_HALF_S)
+        answer_s = self.answer_s * half_life(now - self.answered_s, ANSWER_HALF_S)
+        failing = self.failing * half_life(now - self.failed_s, FAILURE_HALF_S)
         return answer_s, failing * FAILURE_WEIGHT_S
 
-    @staticmethod
-    def _kept(age_s: Seconds, half_s: Seconds) -> float:
-        return 0.5 ** (max(0.0, age_s) / half_s)
-
 
 @dataclass(slots=True)
 class _Book:
@@ -347,7 +344,7 @@
 
     def update(self, value: float, now: Seconds) -> float:
         """Take in the present value; return the figure."""
-        fallen = self._value * 0.5 ** (max(0.0, now - self._at_s) / self._half_s)
+        fallen = self._value * half_life(now - self._at_s, self._half_s)
         self._value, self._at_s = max(value, fallen), now
         return self._value
 
