--- a/shallotpoint/controllers/crash_archive.py
+++ b/shallotpoint/controllers/crash_archive.py
@@ -22,14 +22,10 @@
 from shallotpoint.types import Clock, Seconds
 
 TICK_S = 0.5
-SETTLE_S = (
-    0.5  # pause between writes: of several ends at once, all but the first share one
-)
+SETTLE_S = 0.5  # least pause between writes, so that ends close together share one
 RETRY_S = 2.0  # after a write that failed or that is not yet heard back
 LEASE_S = EXPIRY_S
-LEASE_USED_S = (
-    60.0  # writes within this time share a lease; short beside its time to live
-)
+LEASE_USED_S = 60.0  # writes share a lease so long; short beside its time to live
 ENTRIES_AT_ONCE = 16  # half of what one write may hold
 
 _decoder = msgspec.json.Decoder(list[int])
