Log the shared prompt parts of each request that is sent

Cause: the log could not show whether servers end under requests that have a part in common, as it named only the whole content. Change: 'request sent' lists the ids of the shared parts, eight at most.

--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -24,6 +24,9 @@
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.client import UpstreamClient, UpstreamFailure
 
+MAX_LOGGED_PARTS = 8
+MAX_PART_ID_CHARS = 32
+
 _log = logging.getLogger("shallotpoint.requests")
 # Results for the caller in place of the retry codes, which callers never see.
 _FINAL_RESULTS = {
@@ -178,6 +181,7 @@
             extra={
                 "request": self.ticket.id,
                 "content": content_name(self.ticket.fingerprint),
+                "parts": _shared_part_ids(self.ticket),
                 "connection": self.exchange.connection_label,
                 "pool": self.pool.pool.name,
                 "upstream": upstream,
@@ -394,6 +398,12 @@
         )
 
 
+def _shared_part_ids(ticket: Ticket) -> list[str]:
+    """Return the ids of a request's shared prompt parts, shortened for the log."""
+    shared = ticket.prompt.shared if ticket.prompt else ()
+    return [part.id[:MAX_PART_ID_CHARS] for part in shared[:MAX_LOGGED_PARTS]]
+
+
 def record_request_end(
     services: Services,
     caller: Caller | None,
