Block prompt parts that crash the upstreams which answer them

Cause: crashes were attributed to the content of a whole request. Requests that differ but have one prompt part in common began at nothing each time ('crash counted' named no content more than three times while 19 servers ended under requests with one part, none of them answered). Change: a crash report carries the ids of the request's shared parts. policy/part_blame finds the parts to blame from the reports: three crashes since the last answer (five if the part was ever answered), under at least two different requests, not all at one moment, and not explained better by another part. Parts that always come together are blocked together only, until an answer to one of them narrows the block. An answer that begins later and lasts clears a part; a blocked part is tried once after a minute by one router, then half as often each time. Blocks and the answers that clear them are gossiped, and blocks are kept in the key-value service. The check is made on arrival, at dispatch, before a retry, a move and a hedge.

--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -233,7 +233,8 @@
             raise UpstreamFailure(
                 Result.RETRY_ERROR, f"{upstream} answered {resp.status}"
             )
-        self.pool.progress(self.ticket.id, upstream, 1)
+        # An error does not show that the upstream survives the request.
+        self.pool.progress(self.ticket.id, upstream, int(resp.status < 400))
         await self._send_answer(answer)
 
     def _check_answer(self, facts: AnswerInfo, resp: aiohttp.ClientResponse) -> None:
--- a/shallotpoint/callers/routes.py
+++ b/shallotpoint/callers/routes.py
@@ -199,6 +199,7 @@
             time_limit_at_s=time_limit_at_s,
             max_attempts=route.max_attempts,
             prompt=facts.prompt,
+            parts=facts.prompt.shared_ids if facts.prompt else frozenset(),
         )
         query = scope["query_string"]
         target = path + b"?" + query if query else path
--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -25,7 +25,6 @@
 from shallotpoint.upstreams.client import UpstreamClient, UpstreamFailure
 
 MAX_LOGGED_PARTS = 8
-MAX_PART_ID_CHARS = 32
 
 _log = logging.getLogger("shallotpoint.requests")
 # Results for the caller in place of the retry codes, which callers never see.
@@ -181,7 +180,7 @@
             extra={
                 "request": self.ticket.id,
                 "content": content_name(self.ticket.fingerprint),
-                "parts": _shared_part_ids(self.ticket),
+                "parts": sorted(self.ticket.parts)[:MAX_LOGGED_PARTS],
                 "connection": self.exchange.connection_label,
                 "pool": self.pool.pool.name,
                 "upstream": upstream,
@@ -388,6 +387,9 @@
             "events": self.log.tokens,
             **self.end_log_fields(),
         }
+        if result is Result.POISON:
+            log_fields["content"] = content_name(self.ticket.fingerprint)
+            log_fields["parts"] = sorted(self.ticket.parts)[:MAX_LOGGED_PARTS]
         record_request_end(
             self.services,
             self.caller,
@@ -398,12 +400,6 @@
         )
 
 
-def _shared_part_ids(ticket: Ticket) -> list[str]:
-    """Return the ids of a request's shared prompt parts, shortened for the log."""
-    shared = ticket.prompt.shared if ticket.prompt else ()
-    return [part.id[:MAX_PART_ID_CHARS] for part in shared[:MAX_LOGGED_PARTS]]
-
-
 def record_request_end(
     services: Services,
     caller: Caller | None,
--- a/shallotpoint/controllers/crash_publisher.py
+++ b/shallotpoint/controllers/crash_publisher.py
@@ -25,6 +25,7 @@
     upstream: str
     age_s: Seconds
     started_ms: int = 0
+    parts: tuple[str, ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(list[_WireCrash])
@@ -54,7 +55,9 @@
         current = [(s, r) for s, r in self._reports if self._stays(s, r, now)]
         self._reports = [*current, *((now, r) for r in reports)][-MAX_REPORTS:]
         wire = [
-            _WireCrash(r.fingerprint, r.upstream, now - r.at_s, r.started_ms)
+            _WireCrash(
+                r.fingerprint, r.upstream, now - r.at_s, r.started_ms, tuple(r.parts)
+            )
             for _, r in self._reports
         ]
         self._board.publish(CRASHES_TOPIC, msgspec.msgpack.encode(wire), now=now)
@@ -76,7 +79,11 @@
     """
     return [
         CrashReport(
-            crash.fingerprint, crash.upstream, now - crash.age_s, crash.started_ms
+            crash.fingerprint,
+            crash.upstream,
+            now - crash.age_s,
+            crash.started_ms,
+            frozenset(crash.parts),
         )
         for crash in _decoder.decode(payload)
     ]
--- a/shallotpoint/controllers/crashes.py
+++ b/shallotpoint/controllers/crashes.py
@@ -28,6 +28,7 @@
 from shallotpoint.types import Clock, Seconds
 
 CONNECTING_REPORT_INTERVAL_S = 1.0
+MAX_LOGGED_PARTS = 8
 
 _log = logging.getLogger("shallotpoint.router")
 
@@ -167,6 +168,7 @@
         extra={
             "content": content_name(report.fingerprint),
             "upstream": report.upstream,
+            "parts": sorted(report.parts)[:MAX_LOGGED_PARTS],
             "source": source,
             "age_s": round(now - report.at_s, 3),
         },
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -34,6 +34,7 @@
 from shallotpoint.controllers.journal import Journal
 from shallotpoint.controllers.limits import LIMITS_TOPIC, LimitController
 from shallotpoint.controllers.load_sharing import LoadController
+from shallotpoint.controllers.part_blocks import PARTS_TOPIC, PartBlockController
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.route_config import RouteConfigController
 from shallotpoint.controllers.sections import (
@@ -68,6 +69,7 @@
 from shallotpoint.policy.freshness import FreshnessRule
 from shallotpoint.policy.limits import UpstreamLimits
 from shallotpoint.policy.model import Pool, PoolKind
+from shallotpoint.policy.part_blame import PartTracker
 from shallotpoint.policy.poison import PoisonTracker
 from shallotpoint.policy.retries import SharedRetryBudget, WindowRetryBudget
 from shallotpoint.policy.route_placement import EnginePlacement, ServicePlacement
@@ -122,6 +124,11 @@
         """Where crash reports are kept."""
         return f"{self.shared_prefix}crashes/"
 
+    @property
+    def block_prefix(self) -> str:
+        """Where blocked prompt parts are kept."""
+        return f"{self.shared_prefix}blocked/"
+
     @property
     def limit_prefix(self) -> str:
         """Where it is told who hands out the permits of limited upstreams."""
@@ -170,7 +177,8 @@
         self._servers: list[HttpServer] = []
         self.gossip = Board(self.name, self._incarnation)
         self.client = PerUpstreamClient()
-        self.poison = PoisonTracker(block_after=ENDS_TO_BLOCK)
+        self.parts = PartTracker(may_try=lambda parts: self.part_blocks.may_try(parts))
+        self.poison = PoisonTracker(block_after=ENDS_TO_BLOCK, parts=self.parts)
         self.exposures = AttemptTracker()
         self.closures = UpstreamClosures(self._rng)
         self.limit_book = UpstreamLimits()
@@ -219,6 +227,16 @@
             rng=self._rng,
             notify_peers=self._poke,
         )
+        self.part_blocks = PartBlockController(
+            self.gossip,
+            self.parts,
+            kv=edges.kv,
+            prefix=edges.block_prefix,
+            routers=lambda: self.board.get(HostsSection).routers().keys(),
+            clock=self._clock,
+            rng=self._rng,
+            notify_peers=self._poke,
+        )
         self.loads = LoadController(
             self.board,
             self.pools,
@@ -280,6 +298,7 @@
             self._tasks.start("pools", self.pools.run())
             self._tasks.start("loads", self.loads.run())
             self._tasks.start("crashes", self.crashes.run())
+            self._tasks.start("blocked parts", self.part_blocks.run())
             self._tasks.start("peers", self._talk(stack))
             self._tasks.start("gauges", self._measure())
             yield self
@@ -355,6 +374,7 @@
 
     def _take_shared(self, entries: Mapping[str, Entry]) -> None:
         self.crashes.update_entries(entries)
+        self.part_blocks.update_entries(entries)
         self.limits.update_lease_entries(entries)
 
     def _upstream_restarted(self, name: str) -> None:
@@ -525,6 +545,8 @@
         for row in rows:
             if row.topic == DEPARTURES_TOPIC:
                 self.departures.merge_row(row.origin, row.payload)
+            elif row.topic == PARTS_TOPIC:
+                self.part_blocks.merge_row(row.payload)
             elif row.topic == LIMITS_TOPIC:
                 self.limits.merge_row(row.origin, row.payload)
 
--- a/shallotpoint/policy/admission.py
+++ b/shallotpoint/policy/admission.py
@@ -44,7 +44,7 @@
 def assess(state: PoolState, ticket: Ticket, now: Seconds) -> Refused | Seconds:
     """Return the refusal of a request, or its estimated wait in seconds."""
     cls = ticket.service_class
-    if state.is_blocked(ticket.fingerprint, now):
+    if state.is_blocked(ticket, now):
         return Refused(Result.POISON, blocked_retry_after_s(state, ticket, now))
     if not state.accepting_upstreams:
         return Refused(Result.NO_UPSTREAM, 1.0)
@@ -122,7 +122,9 @@
     It is short if the request is blocked only because of upstreams that have not
     answered, as these may still turn out to be alive.
     """
-    if state.poison.is_blocked(ticket.fingerprint, now):
+    if state.poison.parts.is_blocked(ticket.parts, now) or state.poison.is_blocked(
+        ticket.fingerprint, now
+    ):
         return MAX_RETRY_AFTER_S
     return CRASH_KNOWN_AFTER_S
 
--- a/shallotpoint/policy/crash_reports.py
+++ b/shallotpoint/policy/crash_reports.py
@@ -39,12 +39,15 @@
         Time of the crash, in seconds.
     started_ms : int
         Start time of the upstream, in milliseconds; 0 if starts are not distinguished.
+    parts : frozenset of str
+        Ids of the prompt parts that other requests may share.
     """
 
     fingerprint: int
     upstream: str
     at_s: Seconds
     started_ms: int = 0
+    parts: frozenset[str] = frozenset()
 
     @property
     def incarnation(self) -> Incarnation:
--- a/shallotpoint/policy/crash_watch.py
+++ b/shallotpoint/policy/crash_watch.py
@@ -30,11 +30,18 @@
         """Record that an upstream was alive when an attempt was sent to it."""
         self._poison.record_alive(attempt.incarnation, attempt.sent_s)
 
+    def on_progress(self, ticket: Ticket, attempt: Attempt) -> None:
+        """Called after a token of an attempt arrived."""
+        if not attempt.cleared_parts and attempt.outlasts_early_crash:
+            self._clear_parts(ticket, attempt)
+
     def on_complete(self, ticket: Ticket, attempt: Attempt) -> None:
         """Called after an attempt was answered completely."""
         self._poison.record_answer(
             ticket.fingerprint, attempt.incarnation, attempt.sent_s
         )
+        if attempt.tokens:
+            self._clear_parts(ticket, attempt)
 
     def on_failure(
         self, request: AdmittedRequest, attempt: Attempt, reason: Result, now: Seconds
@@ -53,6 +60,12 @@
     def on_end(self, ticket: Ticket, attempt: Attempt, now: Seconds) -> None:
         """Called at the end of an attempt, whatever its outcome."""
 
+    def _clear_parts(self, ticket: Ticket, attempt: Attempt) -> None:
+        """Clear a request's prompt parts, as its upstream did not crash."""
+        attempt.cleared_parts = True
+        if ticket.parts and attempt.first_token_at_s is not None:
+            self._poison.parts.record_answer(ticket.parts, attempt.first_token_at_s)
+
     def _report_crash(self, report: CrashReport) -> None:
         self._poison.record_crash(report)
         self.reports.append(report)
@@ -67,7 +80,9 @@
 
     def on_sent(self, ticket: Ticket, attempt: Attempt) -> None:
         """Called after an attempt was sent."""
-        self._exposures.track(ticket.id, ticket.fingerprint, attempt)
+        self._exposures.track(
+            ticket.id, ticket.fingerprint, attempt, parts=ticket.parts
+        )
 
     def record_alive(self, attempt: Attempt) -> None:
         """Record that an upstream was alive when an attempt was sent to it."""
--- a/shallotpoint/policy/exposures.py
+++ b/shallotpoint/policy/exposures.py
@@ -15,7 +15,6 @@
 from shallotpoint.policy.ticket import Attempt
 from shallotpoint.types import Seconds
 
-EARLY_CRASH_S = 1.0  # a fatal request crashes its upstream as it begins to run
 RETENTION_S = 30.0  # a crash may become known late, as after an outage of the store
 CONNECT_WINDOW_S = 1.0  # an attempt connects or fails to connect within this time
 SUSPICIOUS_SILENCE_S = 2.0  # an upstream that is silent for longer may have crashed
@@ -27,21 +26,14 @@
 
     fingerprint: int
     attempt: Attempt
+    parts: frozenset[str]
     closed_s: Seconds | None = None
 
     def crash_report(self, now: Seconds) -> CrashReport:
         """Return the report of a crash of the upstream during this attempt."""
         upstream, started_ms = self.attempt.incarnation
         at_s = now if self.closed_s is None else self.closed_s
-        return CrashReport(self.fingerprint, upstream, at_s, started_ms)
-
-    @property
-    def is_harmless(self) -> bool:
-        """Whether the upstream ran the request longer than a fatal one would run."""
-        first_s, last_s = self.attempt.first_token_at_s, self.attempt.last_token_at_s
-        if first_s is None or last_s is None:
-            return False
-        return last_s - first_s > EARLY_CRASH_S
+        return CrashReport(self.fingerprint, upstream, at_s, started_ms, self.parts)
 
 
 class AttemptTracker:
@@ -64,11 +56,20 @@
         ] = {}
         self._terminated_s: dict[Incarnation, Seconds] = {}
 
-    def track(self, ticket_id: str, fingerprint: int, attempt: Attempt) -> None:
+    def track(
+        self,
+        ticket_id: str,
+        fingerprint: int,
+        attempt: Attempt,
+        *,
+        parts: frozenset[str] = frozenset(),
+    ) -> None:
         """Start tracking an attempt when it is sent."""
         if fingerprint:
             attempts = self._by_incarnation.setdefault(attempt.incarnation, {})
-            attempts[ticket_id, attempt.sent_s] = _TrackedAttempt(fingerprint, attempt)
+            attempts[ticket_id, attempt.sent_s] = _TrackedAttempt(
+                fingerprint, attempt, parts
+            )
 
     def untrack(self, ticket_id: str, attempt: Attempt) -> None:
         """Stop tracking an attempt that was answered or never reached its upstream."""
@@ -97,7 +98,9 @@
         if attempt.incarnation not in self._terminated_s:
             return None
         self.untrack(ticket_id, attempt)
-        return None if tracked.is_harmless else tracked.crash_report(now)
+        return (
+            None if tracked.attempt.outlasts_early_crash else tracked.crash_report(now)
+        )
 
     def record_alive(self, incarnation: Incarnation, sent_s: Seconds) -> None:
         """Record that an upstream answered an attempt that was sent at ``sent_s``.
@@ -135,7 +138,7 @@
             ):
                 continue
             del attempts[key]
-            if not attempt.is_harmless:
+            if not attempt.attempt.outlasts_early_crash:
                 found[attempt.fingerprint] = attempt.crash_report(now)
         if not attempts:
             self._by_incarnation.pop(incarnation, None)
--- a/shallotpoint/policy/poison.py
+++ b/shallotpoint/policy/poison.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from shallotpoint.policy.crash_reports import EXPIRY_S, CrashReport, Incarnation
+from shallotpoint.policy.part_blame import PartTracker
 from shallotpoint.types import Seconds
 
 BLOCK_THRESHOLD = 2  # distinct upstream incarnations that one request crashed
@@ -51,6 +52,8 @@
         prove a crash.
     expiry_s : float
         Time for which a request is remembered after it was last received, in seconds.
+    parts : PartTracker, optional
+        Gets the same reports, to find prompt parts that crash upstreams.
 
     Examples
     --------
@@ -70,8 +73,10 @@
         block_after: int = BLOCK_THRESHOLD,
         max_requests_per_crash: int | None = None,
         expiry_s: Seconds = EXPIRY_S,
+        parts: PartTracker | None = None,
     ):
         self.block_after = block_after
+        self.parts = parts or PartTracker()
         self._max_requests_per_crash = max_requests_per_crash
         self._expiry_s = expiry_s
         self._records: dict[int, _RequestRecord] = {}
@@ -89,6 +94,7 @@
             return False
         if report.at_s < self._last_cleared_s.get(fingerprint, -math.inf):
             return False
+        self.parts.record_crash(report)
         record = self._records.setdefault(fingerprint, _RequestRecord())
         is_new = incarnation not in record.crash_times_s
         record.crash_times_s[incarnation] = min(
@@ -128,6 +134,7 @@
         """
         if not incarnation.started_ms:
             return
+        self.parts.record_alive(incarnation, sent_s)
         self._last_alive_s[incarnation] = max(
             sent_s, self._last_alive_s.get(incarnation, -math.inf)
         )
@@ -191,6 +198,7 @@
         if now - self._last_expiry_s < EXPIRY_INTERVAL_S:
             return
         self._last_expiry_s = now
+        self.parts.expire(now)
         oldest_s = now - self._expiry_s
         for fingerprint, record in list(self._records.items()):
             if record.last_seen_s <= oldest_s:
--- a/shallotpoint/policy/prompts.py
+++ b/shallotpoint/policy/prompts.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 
+from shallotpoint.hashing import content_name, hash64
+
+MAX_ID_CHARS = 32
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -44,6 +48,14 @@
         """The parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def shared_ids(self) -> frozenset[str]:
+        """Ids of the parts that other requests may share; long ones are hashed."""
+        return frozenset(
+            part.id if len(part.id) <= MAX_ID_CHARS else content_name(hash64(part.id))
+            for part in self.shared
+        )
+
     @property
     def unshared_tokens(self) -> int:
         """Number of tokens that no other request shares; all if no parts are given."""
--- a/shallotpoint/policy/retry_decision.py
+++ b/shallotpoint/policy/retry_decision.py
@@ -38,7 +38,7 @@
     ticket = request.ticket
     may_have_run = reason not in NOT_RUN
     failure = Result.STREAM_CUT if request.tokens else Result.UPSTREAM_BROKE
-    if state.is_blocked(ticket.fingerprint, now):
+    if state.is_blocked(ticket, now):
         return Result.POISON
     if may_have_run and not (may_retry and ticket.idempotent):
         return failure
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -198,6 +198,7 @@
         attempt.tokens += tokens
         request.tokens += tokens
         self._state.charge(request, tokens)
+        self._crash_watch.on_progress(request.ticket, attempt)
         self._clear_suspicion(request, attempt, now)
         return actions
 
@@ -326,6 +327,8 @@
         actions += self._expire_without_permit(now)
         self._update_shares(now)
         for request, upstream in reassignment.requests_to_hedge(self._state, now):
+            if self._state.is_blocked(request.ticket, now):
+                continue
             actions.append(self._send(request, upstream, now, hedge=True))
         return actions + self._move_streams(now)
 
@@ -422,7 +425,7 @@
             ticket = state.queues[cls.name].peek()
             if ticket is None:
                 continue
-            if state.is_blocked(ticket.fingerprint, now):
+            if state.is_blocked(ticket, now):
                 return self._expire_blocked(ticket, now)
             if not state.is_below_share(cls.name) and open_slots:
                 preemptible = reassignment.may_be_preempted(self.requests[ticket.id])
@@ -489,6 +492,7 @@
         request.permit_wait_since_s = None
         request.attempts.append(attempt)
         self._crash_watch.on_sent(ticket, attempt)
+        self._state.poison.parts.record_sent(ticket.parts, now)
         request.tried_upstreams.append(upstream)
         slots.running.add(ticket.id)
         if request.is_suspect:
--- a/shallotpoint/policy/state.py
+++ b/shallotpoint/policy/state.py
@@ -175,12 +175,16 @@
         ]
         return names if all(name in self.limits for name in names) else []
 
-    def is_blocked(self, fingerprint: int, now: Seconds) -> bool:
+    def is_blocked(self, ticket: Ticket, now: Seconds) -> bool:
         """Return whether a request may have crashed too many upstreams to run again.
 
         After the first proven crash, upstreams that have not answered the request
-        count as crashed too.
+        count as crashed too.  The crashes of other requests count if a part of the
+        prompt that they share with it is to blame.
         """
+        if self.poison.parts.is_blocked(ticket.parts, now):
+            return True
+        fingerprint = ticket.fingerprint
         count = self.poison.count_crashes(fingerprint, now)
         if count and self.exposures is not None:
             possibly_crashed = self.exposures.possibly_crashed(fingerprint, now)
--- a/shallotpoint/policy/ticket.py
+++ b/shallotpoint/policy/ticket.py
@@ -10,6 +10,8 @@
 from shallotpoint.policy.prompts import Prompt
 from shallotpoint.types import Seconds
 
+EARLY_CRASH_S = 1.0  # a fatal request crashes its upstream as it begins to run
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -33,6 +35,8 @@
         Upstreams that may receive the request; None if only the policy limits them.
     prompt : Prompt or None
         Lengths and shared parts of the prompt, if the caller describes them.
+    parts : frozenset of str
+        Ids of the parts of its prompt that other requests may share.
     """
 
     id: str
@@ -48,6 +52,7 @@
     time_limit_at_s: Seconds | None = None
     max_attempts: int | None = None
     prompt: Prompt | None = None
+    parts: frozenset[str] = frozenset()
 
     @property
     def due_s(self) -> Seconds:
@@ -91,6 +96,8 @@
         Whether the stream waits for its caller rather than its upstream.
     permit : Permit or None
         Permit that the attempt used; None if the upstream has no rate limit.
+    cleared_parts : bool
+        Whether the answer has cleared the request's prompt parts of crashes.
     """
 
     upstream: str
@@ -102,12 +109,21 @@
     hedge: bool = False
     is_backpressured: bool = False
     permit: Permit | None = None
+    cleared_parts: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
         """The upstream process that the request was sent to."""
         return Incarnation(self.upstream, self.started_ms)
 
+    @property
+    def outlasts_early_crash(self) -> bool:
+        """Whether the upstream ran the request longer than a fatal one would run."""
+        first_s, last_s = self.first_token_at_s, self.last_token_at_s
+        if first_s is None or last_s is None:
+            return False
+        return last_s - first_s > EARLY_CRASH_S
+
     @property
     def awaits_first_token(self) -> bool:
         """Whether no token has arrived yet."""
--- a/shallotpoint/tests/test_exposures.py
+++ b/shallotpoint/tests/test_exposures.py
@@ -16,7 +16,6 @@
 from shallotpoint.policy.crash_reports import CrashReport, Incarnation
 from shallotpoint.policy.exposures import (
     CONNECT_WINDOW_S,
-    EARLY_CRASH_S,
     RETENTION_S,
     SUSPICIOUS_SILENCE_S,
     AttemptTracker,
@@ -26,7 +25,7 @@
 from shallotpoint.policy.route_placement import ServicePlacement
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.state import Slots
-from shallotpoint.policy.ticket import Attempt, Ticket
+from shallotpoint.policy.ticket import EARLY_CRASH_S, Attempt, Ticket
 from shallotpoint.policy.tuning import ROUTE_TUNING
 from shallotpoint.results import Result
 from shallotpoint.testing.cases import FakeClock, TestCase, eventually
