Keep revisions and lease ids of a store's eras apart

Callers could see: an upstream or a change that a router never learned of after the store came back from a backup. Cause: nothing read 'Store-Era'; revisions and lease ids were compared over two eras. The class: a number that names a state only within one life of its giver. Change: the store's client joins the era to each revision and lease id (coordination/eras.py), so that those of a later era are higher. A copy keeps missing keys for its grace time after a return, as their owners write them again.

--- a/shallotpoint/coordination/follow.py
+++ b/shallotpoint/coordination/follow.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
+from shallotpoint.coordination.eras import split_era
 from shallotpoint.coordination.kv import (
     Change,
     Entry,
@@ -93,7 +94,13 @@
     def replace_all(
         self, entries: Iterable[Entry], revision: Revision, now: Seconds
     ) -> None:
-        """Replace the copy by a full listing; keys lost in an outage may be kept."""
+        """Replace the copy by a full listing; keys lost in an outage may be kept.
+
+        A service that came back from a backup may also have lost keys that their
+        owners write again.
+        """
+        if split_era(revision).era > split_era(self.revision).era and self.revision:
+            self._outage_end_s = now
         listed = {entry.key: entry for entry in entries}
         for key in self.entries.keys() - listed.keys():
             self._remove(key, now)
--- a/shallotpoint/coordination/memory_kv.py
+++ b/shallotpoint/coordination/memory_kv.py
@@ -34,9 +34,12 @@
         Revision of the last change.
     compacted_revision : int
         Revision up to which changes were dropped by :meth:`forget_history`.
+    era : int
+        Number of times that the store was restored from a backup.
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision: Revision = 1
         self.compacted_revision: Revision = 0
         self._entries: dict[str, Entry] = {}
@@ -102,6 +105,31 @@
         self._history.clear()
         self.compacted_revision = self.revision
 
+    def backup(self) -> MemoryStore:
+        """Return a copy of the state, without watchers."""
+        copy = MemoryStore()
+        copy.revision = self.revision
+        copy.compacted_revision = self.compacted_revision
+        copy._entries = dict(self._entries)
+        copy._leases = dict(self._leases)
+        copy._next_lease = self._next_lease
+        copy._history = list(self._history)
+        return copy
+
+    def restore(self, backup: MemoryStore) -> None:
+        """Return to the state of a backup, which begins a new era.
+
+        What was written since is lost; its revisions and lease ids are used again.
+        """
+        state = backup.backup()
+        self.era += 1
+        self.revision = state.revision
+        self.compacted_revision = state.compacted_revision
+        self._entries = state._entries
+        self._leases = state._leases
+        self._next_lease = state._next_lease
+        self._history = state._history
+
     def changes_after(self, prefix: str, after: Revision) -> list[Change]:
         """Return the changes to keys with a prefix after a revision.
 
@@ -112,6 +140,8 @@
         """
         if after < self.compacted_revision:
             raise HistoryLost(f"changes up to {self.compacted_revision} are dropped")
+        if after > self.revision:
+            raise HistoryLost(f"revision {after} has not been reached")
         return [
             c for c in self._history if c.revision > after and c.key.startswith(prefix)
         ]
