Take a version that was lost and given again to other content

Callers could see: a route that the operator added stays unserved, if the store lost the version that first had its number. Cause: a version was compared by its number alone, so that the other content counted as older and was ignored for good. Change: the same version is taken if its entry has a higher revision, which contains the store's era. Test: tests/test_route_config.py; 'lost and given again' failed before.

--- a/shallotpoint/controllers/route_config.py
+++ b/shallotpoint/controllers/route_config.py
@@ -11,7 +11,7 @@
 from shallotpoint.coordination.follow import PrefixFollower
 from shallotpoint.coordination.kv import Entry, Source
 from shallotpoint.policy.configuration import Config, InvalidConfig
-from shallotpoint.types import Clock
+from shallotpoint.types import Clock, Revision
 
 # Keeps the copy's age below 2 s, also on a router that is cut off from the service.
 POLL_WAIT_S = 1.2
@@ -22,7 +22,8 @@
 class RouteConfigController:
     """Owns :class:`ConfigSection`; applies each new version atomically.
 
-    An invalid or older configuration is logged and ignored.  Used by
+    An invalid or older configuration is logged and ignored.  A version that a restored
+    service has lost may be given again to other content.  Used by
     :mod:`shallotpoint.daemons.route_router`.
 
     Parameters
@@ -50,6 +51,7 @@
         self._read = read
         self._write = board.claim(ConfigSection, "config")
         self._last_value: bytes | None = None
+        self._applied_revision: Revision = 0
         self.follower = PrefixFollower(
             sources,
             key,
@@ -79,12 +81,17 @@
                 extra={"version": current_version, "reason": str(exc)},
             )
             return
-        if config.version <= current_version:
+        is_given_again = (
+            config.version == current_version
+            and entry.revision > self._applied_revision
+        )
+        if config.version <= current_version and not is_given_again:
             _log.warning(
                 "older configuration ignored",
                 extra={"version": current_version, "offered": config.version},
             )
             return
+        self._applied_revision = entry.revision
         self._write(ConfigSection(section.state, config))
         _log.info(
             "configuration in force",
