Write the secret of the peers again if the store has lost it

Callers could see: less of the service levels, as a router that starts after a store lost the secret makes another one, and no peer accepts its messages. Cause: the secret was written at a router's first start only. Change: a router that sees the secret gone from the listing writes its own again, if there is no other; another one is logged as an error. Test: SecretTests in tests/test_route_router.py; failed before.

--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -277,6 +277,8 @@
             clock=boot_clock,
         )
         self.peers: Peers | None = None
+        self._peer_secret: bytes | None = None
+        self._is_secret_listed = False
         self._placed: tuple[dict[str, Host], frozenset[str], Position] = (
             {},
             frozenset(),
@@ -376,6 +378,12 @@
         self.crashes.update_entries(entries)
         self.part_blocks.update_entries(entries)
         self.limits.update_lease_entries(entries)
+        was_listed, self._is_secret_listed = (
+            self._is_secret_listed,
+            self.edges.secret_key in entries,
+        )
+        if was_listed and not self._is_secret_listed and self._peer_secret is not None:
+            self._tasks.start("secret", self._store_lost_secret(self._peer_secret))
 
     def _upstream_restarted(self, name: str) -> None:
         """Forget what an upstream held before it started anew."""
@@ -439,7 +447,7 @@
 
     async def _talk(self, stack: contextlib.AsyncExitStack) -> None:
         """Register, then exchange loads and crash reports with peers."""
-        secret = await self._secret()
+        secret = self._peer_secret = await self._secret(secrets.token_bytes(32))
         transport = NngTransport(MessageAuthenticator(secret))
         stack.callback(transport.close)
         self.peers = Peers(
@@ -470,11 +478,17 @@
                     )
                 )
 
-    async def _secret(self) -> bytes:
+    async def _store_lost_secret(self, secret: bytes) -> None:
+        """Write the secret of the peers again, as a restored service may lose it."""
+        if await self._secret(secret) != secret:
+            _log.error("peers have another secret; this router must be restarted")
+
+    async def _secret(self, new_secret: bytes) -> bytes:
+        """Return the secret that the service has, or store a new one."""
         while True:
             try:
                 return await get_or_create_secret(
-                    self.edges.kv, self.edges.secret_key, secrets.token_bytes(32)
+                    self.edges.kv, self.edges.secret_key, new_secret
                 )
             except KeyValueError as exc:
                 _log.info("no secret for peers yet", extra={"reason": str(exc)})
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -11,7 +11,7 @@
 
 from shallotpoint.callers.routes import STOP_RETRY_S
 from shallotpoint.controllers.sections import ConfigSection, HostsSection
-from shallotpoint.coordination.kv import Put
+from shallotpoint.coordination.kv import Delete, Put
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.daemons.route_router import Edges, RouteRouter
 from shallotpoint.loop import run_loop
@@ -264,3 +264,23 @@
                 return (await asking)[0]
 
         self.assertEqual(200, self.play(scenario, slow))
+
+
+class SecretTests(RouterCase):
+    def test_secret_that_the_store_has_lost_is_written_again(self):
+        # Guards against a new router that makes another secret, which no peer accepts.
+        async def scenario(kv, session):
+            async with router(kv) as made:
+                await eventually(lambda: kv.store.get("shared/secret") is not None)
+                first = kv.store.get("shared/secret").value
+                await eventually(
+                    lambda: "shared/secret" in made.directory.routers.copy.entries
+                )
+                await kv.txn([], [Delete("shared/secret")])
+                await eventually(
+                    lambda: kv.store.get("shared/secret") is not None, timeout_s=8.0
+                )
+                return first, kv.store.get("shared/secret").value
+
+        first, second = self.play(scenario)
+        self.assertEqual(first, second)
