Reject odd entries of other writers wherever such bytes are decoded

Cause: very deep nesting raises RecursionError, which is not among the decoding errors that were caught, and it ended the task that follows the list of hosts.

--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -17,6 +17,7 @@
 )
 from shallotpoint.callers.exchange import CallerGone
 from shallotpoint.callers.run import ChatServices, RequestRun
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.errors import RequestError
 from shallotpoint.hashing import hash64
 from shallotpoint.results import Result
@@ -105,7 +106,7 @@
     """
     try:
         chat = _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (*DECODE_ERRORS, UnicodeDecodeError) as exc:
         raise RequestError(Result.BAD_REQUEST, str(exc)) from None
     if not chat.messages:
         raise RequestError(Result.BAD_REQUEST, "messages must not be empty")
@@ -329,7 +330,7 @@
     """
     try:
         answer = _answer_decoder.decode(body)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         raise UpstreamFailure(Result.RETRY_BROKE, f"unreadable answer: {exc}") from exc
     return max(1, answer.usage.completion_tokens) if answer.usage else 1
 
@@ -338,6 +339,6 @@
     """Raise the RequestError for an error response that is not worth a retry."""
     try:
         message = msgspec.json.decode(body)["error"]["message"]
-    except (msgspec.DecodeError, KeyError, TypeError):
+    except (*DECODE_ERRORS, KeyError, TypeError):
         message = f"the upstream answered {status}"
     raise RequestError(Result.REJECTED, str(message)[:500])
--- a/shallotpoint/controllers/crash_archive.py
+++ b/shallotpoint/controllers/crash_archive.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from shallotpoint.coordination.kv import Entry, KeyValue, KeyValueError, Put
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.policy.crash_reports import EXPIRY_S, CrashReport, Incarnation
 from shallotpoint.policy.poison import PoisonTracker
 from shallotpoint.tasks import wait_set
@@ -199,7 +200,7 @@
         try:
             fingerprints = _decoder.decode(raw)
             started_ms = int(started)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (*DECODE_ERRORS, ValueError) as exc:
             _log.warning("unreadable entry", extra={"entry": key, "reason": str(exc)})
             return frozenset()
         now = self._clock()
--- a/shallotpoint/controllers/directory.py
+++ b/shallotpoint/controllers/directory.py
@@ -25,6 +25,7 @@
     Put,
     Source,
 )
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.platform_api.hosts import Host, HostState
 from shallotpoint.types import Clock, Seconds
 
@@ -174,7 +175,7 @@
             name = key.removeprefix(self._router_prefix)
             try:
                 router = msgspec.json.decode(entry.value, type=_RouterEntry)
-            except msgspec.DecodeError as exc:
+            except DECODE_ERRORS as exc:
                 _log_unreadable(name, exc)
                 continue
             routers[name] = Host(name, "router", router.address, router.data_centre)
--- a/shallotpoint/controllers/limits.py
+++ b/shallotpoint/controllers/limits.py
@@ -37,6 +37,7 @@
 from shallotpoint.coordination.overlay import rank
 from shallotpoint.coordination.permits import PERMIT_LIFETIME_S
 from shallotpoint.coordination.transport import TransportError
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.policy.crash_reports import Incarnation
 from shallotpoint.policy.limits import (
     Permit,
@@ -174,7 +175,7 @@
         """
         try:
             request = _request_decoder.decode(raw)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             raise TransportError(f"malformed permit request: {exc}") from exc
         return _encode(self._issuer.handle(request))
 
@@ -459,7 +460,7 @@
         try:
             raw = await self._send_request(router, _encode(request), REQUEST_TIMEOUT_S)
             return _reply_decoder.decode(raw)
-        except (TransportError, msgspec.DecodeError) as exc:
+        except (TransportError, *DECODE_ERRORS) as exc:
             _log.info(
                 "no word on permits",
                 extra={
--- a/shallotpoint/controllers/part_blocks.py
+++ b/shallotpoint/controllers/part_blocks.py
@@ -16,6 +16,7 @@
 
 from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.kv import Delete, Entry, KeyValue, KeyValueError, Put
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.hashing import content_name, hash64
 from shallotpoint.policy.crash_reports import EXPIRY_S
 from shallotpoint.policy.part_blame import BlockEvent, PartBlock, Parts, PartTracker
@@ -134,7 +135,7 @@
                 continue
             try:
                 parts = frozenset(_entry_decoder.decode(entry.value))
-            except (msgspec.DecodeError, RecursionError) as exc:
+            except DECODE_ERRORS as exc:
                 _log.warning(
                     "unreadable entry", extra={"entry": key, "reason": str(exc)}
                 )
--- a/shallotpoint/coordination/copies.py
+++ b/shallotpoint/coordination/copies.py
@@ -25,6 +25,7 @@
     Unavailable,
 )
 from shallotpoint.coordination.transport import TransportError
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.types import Clock, Revision, Seconds
 
 # The longest wait of a poll is short, so that an unresponsive peer is replaced well
@@ -132,7 +133,7 @@
         try:
             raw = await self._send(_encode(request), wait_s + ROUND_TRIP_S)
             reply = _reply_decoder.decode(raw)
-        except (TransportError, msgspec.DecodeError) as exc:
+        except (TransportError, *DECODE_ERRORS) as exc:
             raise Unavailable(f"no usable reply from {self.name}: {exc}") from exc
         if reply.age_ms < 0:
             raise Unavailable(f"the copy of {self.name} is out of date")
@@ -164,7 +165,7 @@
         """
         try:
             request = _request_decoder.decode(raw)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             raise TransportError(f"malformed request for a copy: {exc}") from exc
         follower = self._followers.get(request.prefix)
         if follower is None:
--- a/shallotpoint/coordination/peers.py
+++ b/shallotpoint/coordination/peers.py
@@ -20,6 +20,7 @@
 from shallotpoint.coordination.gossip import Board, Digest, Row
 from shallotpoint.coordination.overlay import FULL_MESH_MAX_MEMBERS
 from shallotpoint.coordination.transport import Transport, TransportError
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.hashing import hash64
 from shallotpoint.tasks import wait_set
 from shallotpoint.types import Clock, Seconds
@@ -443,7 +444,7 @@
         """
         try:
             return read(*args)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             self.stats.malformed += 1
             _log.warning(
                 "unreadable bytes of a peer dropped",
@@ -477,7 +478,7 @@
         self.stats.received_bytes += len(raw)
         try:
             return self._decoder.decode(raw)
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        except DECODE_ERRORS as exc:
             self.stats.malformed += 1
             raise TransportError(f"malformed message: {exc}") from exc
 
--- a/shallotpoint/operators/logs.py
+++ b/shallotpoint/operators/logs.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.results import RESULTS, Kind, Result
 
 _TIME = "%Y-%m-%d %H:%M:%S,%f"
@@ -83,7 +84,7 @@
         try:
             fields = msgspec.json.decode(raw[start:].strip())
             at_s = datetime.datetime.strptime(fields["time"], _TIME).timestamp()
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        except (*DECODE_ERRORS, KeyError, TypeError, ValueError):
             continue
         lines.append(
             Line(at_s, fields.get("router", ""), fields.get("message", ""), fields)
--- a/shallotpoint/platform_api/etcd.py
+++ b/shallotpoint/platform_api/etcd.py
@@ -20,6 +20,7 @@
     TxnOutcome,
     Unavailable,
 )
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.types import JSONObject, Revision, Seconds
 
 CALL_TIMEOUT_S = 2.0
@@ -213,5 +214,5 @@
             raise error_type(f"the service answered with status {status}")
         try:
             return msgspec.json.decode(raw)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             raise error_type(f"the service's answer is unreadable: {exc}") from exc
--- a/shallotpoint/platform_api/hosts.py
+++ b/shallotpoint/platform_api/hosts.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.types import Seconds
 
 CALL_TIMEOUT_S = 2.0
@@ -110,5 +111,5 @@
             return msgspec.json.decode(raw, type=_HostsResponse).hosts
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise HostListError(f"request failed: {exc!r}") from exc
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             raise HostListError(f"malformed: {exc}") from exc
--- a/shallotpoint/upstreams/sse.py
+++ b/shallotpoint/upstreams/sse.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.results import Result
 from shallotpoint.upstreams.client import UpstreamFailure
 
@@ -66,7 +67,7 @@
             continue
         try:
             yield _decoder.decode(line[6:])
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             continue
 
 
