Start background tasks again that died

Callers could see: a router that is ready and never learns of new upstreams, configurations or peers again. Cause: a task that died was logged and nothing else; readiness doesn't see it. The transport of the peers is closed with its task.

--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -294,15 +294,15 @@
             stack.push_async_callback(self.client.close)
             stack.push_async_callback(self._tasks.stop)
             stack.push_async_callback(self.limits.close)
-            self._tasks.start("config", self.config.run())
-            self._tasks.start("directory", self.directory.run())
+            self._tasks.start_lasting("config", self.config.run)
+            self._tasks.start_lasting("directory", self.directory.run)
             await self._start_servers(stack)
-            self._tasks.start("pools", self.pools.run())
-            self._tasks.start("loads", self.loads.run())
-            self._tasks.start("crashes", self.crashes.run())
-            self._tasks.start("blocked parts", self.part_blocks.run())
-            self._tasks.start("peers", self._talk(stack))
-            self._tasks.start("gauges", self._measure())
+            self._tasks.start_lasting("pools", self.pools.run)
+            self._tasks.start_lasting("loads", self.loads.run)
+            self._tasks.start_lasting("crashes", self.crashes.run)
+            self._tasks.start_lasting("blocked parts", self.part_blocks.run)
+            self._tasks.start_lasting("peers", self._talk)
+            self._tasks.start_lasting("gauges", self._measure)
             yield self
 
     def ready(self) -> bool:
@@ -445,11 +445,16 @@
 
     # Peers
 
-    async def _talk(self, stack: contextlib.AsyncExitStack) -> None:
+    async def _talk(self) -> None:
         """Register, then exchange loads and crash reports with peers."""
         secret = self._peer_secret = await self._secret(secrets.token_bytes(32))
         transport = NngTransport(MessageAuthenticator(secret))
-        stack.callback(transport.close)
+        try:
+            await self._exchange_with_peers(transport)
+        finally:
+            transport.close()
+
+    async def _exchange_with_peers(self, transport: NngTransport) -> None:
         self.peers = Peers(
             self.gossip,
             transport,
--- a/shallotpoint/daemons/router.py
+++ b/shallotpoint/daemons/router.py
@@ -207,17 +207,17 @@
         await self._start_peers(stack)
         await self._start_servers(stack)
         await self.hosts.read()
-        tasks.start("hosts", self.hosts.run())
-        tasks.start("config", self.config.run())
-        tasks.start("sharing", self.sharing.run())
-        tasks.start("pools", self.pools.run())
-        tasks.start("orders", self.orders.run())
-        tasks.start(
-            "peers",
-            self.peers.run(self._neighbours, interval_s=self.settings.peers.gossip_s),
+        tasks.start_lasting("hosts", self.hosts.run)
+        tasks.start_lasting("config", self.config.run)
+        tasks.start_lasting("sharing", self.sharing.run)
+        tasks.start_lasting("pools", self.pools.run)
+        tasks.start_lasting("orders", self.orders.run)
+        gossip_s = self.settings.peers.gossip_s
+        tasks.start_lasting(
+            "peers", lambda: self.peers.run(self._neighbours, interval_s=gossip_s)
         )
-        tasks.start("gauges", self._measure())
-        tasks.start("sweep", self._sweep())
+        tasks.start_lasting("gauges", self._measure)
+        tasks.start_lasting("sweep", self._sweep)
 
     async def _start_peers(self, stack: contextlib.AsyncExitStack) -> None:
         transport = NngTransport(MessageAuthenticator(self.settings.peers.key.encode()))
--- a/shallotpoint/tests/test_tasks.py
+++ b/shallotpoint/tests/test_tasks.py
@@ -3,7 +3,7 @@
 
 from shallotpoint.controllers.credits import CreditController
 from shallotpoint.tasks import Tasks, wait_set
-from shallotpoint.testing.cases import TestCase
+from shallotpoint.testing.cases import TestCase, eventually
 
 TURNS = 6  # of the event loop; more than a wake-up takes
 
@@ -61,3 +61,25 @@
             return before, await wait_set(event, 0.01)
 
         self.assertEqual((False, True), self.run_async(main()))
+
+
+class RestartTests(TestCase):
+    def test_task_that_dies_starts_again_until_it_is_stopped(self):
+        # Guards against a router that no longer follows the list of hosts, unseen.
+        async def main():
+            runs = []
+
+            async def run():
+                runs.append(len(runs))
+                if len(runs) < 3:
+                    raise RecursionError("an odd entry")
+                await asyncio.sleep(10.0)
+
+            tasks = Tasks()
+            with mock.patch("shallotpoint.tasks.RESTART_PAUSE_S", 0.001):
+                tasks.start_lasting("loop", run)
+                await eventually(lambda: len(runs) == 3)
+            await tasks.stop()
+            return runs
+
+        self.assertEqual([0, 1, 2], self.run_async(main()))
