Take no refusal of another request as a promise

Callers could see: 503 'not run, try again' for a request that a server had run or was running, or the request run at a second server. Cause: an answer's refusal was read before its request id, so that an earlier refusal that a faulty server wrote once more counted for the current request; a 421 of this kind even as the end of its server. Change: the id is compared first; an answer that names another request counts as a broken attempt, and nothing else in it is used. One without an id is handled as before. Test: test_refusal_of_another_request_promises_nothing; failed before.

--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -151,6 +151,7 @@
             timeout_s=left_s + RESPONSE_MARGIN_S,
         ) as resp:
             facts = self._upstream_access.dialect.read_answer(resp.status, resp.headers)
+            self._check_identity(facts, resp)
             if facts.leaving and not facts.misdirected:
                 self._upstream_access.on_leaving(upstream, started_ms)
             if facts.limit_per_s is not None and not facts.misdirected:
@@ -237,6 +238,17 @@
         self.pool.progress(self.ticket.id, upstream, int(resp.status < 400))
         await self._send_answer(answer)
 
+    def _check_identity(self, facts: AnswerInfo, resp: aiohttp.ClientResponse) -> None:
+        """Raise UpstreamFailure for an answer to another request.
+
+        Its refusal doesn't promise that this request has not run.
+        """
+        if facts.request_id and facts.request_id != self._call.facts.id:
+            resp.close()
+            raise UpstreamFailure(
+                Result.RETRY_BROKE, "the answer has the id of another request"
+            )
+
     def _check_answer(self, facts: AnswerInfo, resp: aiohttp.ClientResponse) -> None:
         """Raise UpstreamFailure unless the answer may be relayed to the caller."""
         if facts.misdirected:
@@ -249,11 +261,9 @@
             raise UpstreamFailure(
                 Result.RETRY_REFUSED, f"request was refused with status {resp.status}"
             )
-        if facts.request_id != self._call.facts.id:
+        if not facts.request_id:
             resp.close()
-            raise UpstreamFailure(
-                Result.RETRY_BROKE, "the answer has the id of another request"
-            )
+            raise UpstreamFailure(Result.RETRY_BROKE, "the answer has no request id")
         if resp.status in _NOT_RUN_STATUSES or "content-encoding" in resp.headers:
             # If forwarded, one of these statuses would promise that the request did
             # not run.
--- a/shallotpoint/tests/test_route_run.py
+++ b/shallotpoint/tests/test_route_run.py
@@ -120,6 +120,22 @@
         self.assertNotEqual(b"busy", body)
         self.assertEqual(1, len(upstream.received))
 
+    def test_refusal_of_another_request_promises_nothing(self):
+        # A faulty server writes an earlier refusal once more on a kept connection.
+        async def refuse_another(line: ScriptedConnection) -> None:
+            await line.answer(503, b"", headers=["x-not-run: 1"], request="r0")
+
+        async def misdirect_another(line: ScriptedConnection) -> None:
+            await line.answer(421, b"", headers=["x-misdirected: 1"], request="r0")
+
+        for script in (refuse_another, misdirect_another):
+            upstreams = ScriptedUpstream(script), ScriptedUpstream(script)
+            status, _, _ = self.ask(ONCE, *upstreams)
+            self.assertEqual(502, status)
+            self.assertEqual(1, sum(len(u.received) for u in upstreams))
+            status, _, _ = self.ask(IDEMPOTENT, *upstreams)
+            self.assertEqual(502, status)
+
     def test_misdirected_request_does_not_count_as_attempt(self):
         async def other(line: ScriptedConnection) -> None:
             await line.answer(421, b"", headers=["x-misdirected: 1"])
