Continue a stream that began only with the events of a 200 answer

Callers could see: the text of a redirect in the middle of their stream, or a stream that ended as if it were complete, after the first server broke off and the next one answered with a redirect or without content; cut instead of continued if that one answered with an error. Cause: each answer below 400 to a stream was relayed as its events, and an error after a break ended the request though other servers were left. Change: an answer that is not 200 fails the attempt once a stream has begun, so that another server continues it; if none is left, the stream is cut. Test: test_error_after_a_break_is_retried_and_never_joined_to_the_stream (500, 400, 204, 302, with and without a body, before and after events); before, a 302 gave (its body, complete), a 204 (nothing, complete), a 500 was cut.

--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -38,6 +38,7 @@
 )
 from shallotpoint.upstreams.sse import EventSplitter
 
+STREAM_STATUS = 200  # of an answer that continues a stream
 RESPONSE_MARGIN_S = 0.02  # the final answer is sent this long before the time limit
 # Limit of an answer that is not streamed, as for the bodies of callers.
 MAX_ANSWER_BYTES = 4 << 20
@@ -224,12 +225,17 @@
     async def _relay_answer(self, upstream: str, resp: aiohttp.ClientResponse) -> None:
         call = self._call
         self.may_have_run = True
+        if self.exchange.started and resp.status != STREAM_STATUS:
+            raise UpstreamFailure(
+                Result.RETRY_ERROR,
+                f"{upstream} answered {resp.status} to a stream that had begun",
+            )
         if resp.status < 400 and call.route.kind is RouteKind.STREAM:
             await self._relay_events(upstream, resp)
             return
         body = await read_response_body(resp, max_bytes=MAX_ANSWER_BYTES)
         answer = _BufferedAnswer(resp.status, forwardable_headers(resp.headers), body)
-        if resp.status >= 500 and call.route.repeatable and not self.exchange.started:
+        if resp.status >= 500 and call.route.repeatable:
             self._error_answer = answer
             raise UpstreamFailure(
                 Result.RETRY_ERROR, f"{upstream} answered {resp.status}"
@@ -273,10 +279,6 @@
             )
 
     async def _send_answer(self, answer: _BufferedAnswer) -> None:
-        if self.exchange.started:
-            # The stream began in an earlier attempt and can't be completed.
-            await self.exchange.abort()
-            return
         length = (b"content-length", str(len(answer.body)).encode())
         await self.exchange.send_headers(answer.status, [*answer.headers, length])
         await self.exchange.write(answer.body, more=False)
--- a/shallotpoint/tests/test_route_run.py
+++ b/shallotpoint/tests/test_route_run.py
@@ -1,6 +1,7 @@
 """Tests for requests on routes, with upstreams whose faults are scripted."""
 
 import asyncio
+from dataclasses import replace
 
 import aiohttp
 
@@ -19,6 +20,7 @@
 IDEMPOTENT = route(RouteKind.IDEMPOTENT)
 ONCE = route(RouteKind.NON_IDEMPOTENT)
 STREAM = route(RouteKind.STREAM, resumable=True, event_gap_target_s=0.5)
+MANY_ATTEMPTS_STREAM = replace(STREAM, max_attempts=4)
 NON_RESUMABLE_STREAM = route(RouteKind.STREAM, event_gap_target_s=0.5)
 
 
@@ -347,6 +349,37 @@
         expected = b"".join(event(number) for number in range(1, 4))
         self.assertEqual((expected, False), (body, whole))
 
+    def test_error_after_a_break_is_retried_and_never_joined_to_the_stream(self):
+        async def fail(line: ScriptedConnection) -> None:
+            await line.answer(500, b"id: 4\ndata: error\n\n")
+
+        async def reject(line: ScriptedConnection) -> None:
+            await line.answer(400, b"id: 4\ndata: rejected\n\n")
+
+        async def no_content(line: ScriptedConnection) -> None:
+            await line.answer(204, b"")
+
+        async def redirect(line: ScriptedConnection) -> None:
+            await line.answer(302, b"id: 4\ndata: moved\n\n")
+
+        async def empty(line: ScriptedConnection) -> None:
+            await line.answer(500, b"")
+
+        for events in (0, 3):
+            for script in (fail, reject, no_content, redirect, empty):
+                upstream = ScriptedUpstream(
+                    stream(1, events, ends_with_reset=True), script, stream(1, 5)
+                )
+                body, whole = self.read_stream(MANY_ATTEMPTS_STREAM, upstream)
+                expected = b"".join(event(number) for number in range(1, 6))
+                self.assertEqual((expected, True), (body, whole), script.__name__)
+                upstream = ScriptedUpstream(
+                    stream(1, events, ends_with_reset=True), script
+                )
+                body, whole = self.read_stream(STREAM, upstream)
+                expected = b"".join(event(number) for number in range(1, events + 1))
+                self.assertEqual((expected, False), (body, whole), script.__name__)
+
     def test_non_resumable_stream_is_cut_off_after_a_reset(self):
         upstreams = [
             ScriptedUpstream(stream(1, 2, ends_with_reset=True)) for _ in range(2)
