Assess crash reports that come together once

Cause: each report assessed all reports anew; 640 reports of 40 upstreams that are lost at once took a router 0.77 s (a measurement outside the bench). Change: reports are assessed when the next request, or the controller that logs and publishes blocks, asks. Test: test_reports_that_come_together_are_assessed_once (640 assessments before).

--- a/shallotpoint/controllers/part_blocks.py
+++ b/shallotpoint/controllers/part_blocks.py
@@ -208,8 +208,7 @@
 
     def _log_changes(self, now: Seconds) -> bool:
         """Log the changes of blocks; return whether there were any."""
-        changes = list(self._tracker.changes)
-        self._tracker.changes.clear()
+        changes = self._tracker.take_changes()
         for event, block in changes:
             _log_block(event, block, now)
             key = self._key(block.parts)
--- a/shallotpoint/policy/part_blame.py
+++ b/shallotpoint/policy/part_blame.py
@@ -135,16 +135,14 @@
 class PartTracker:
     """Finds and blocks prompt parts that crash upstreams.
 
+    Reports are assessed when the next request or the owner asks, as many of them may
+    come together.
+
     Parameters
     ----------
     may_try : Callable
         Returns whether this router is the one that tries blocked parts now and then.
 
-    Attributes
-    ----------
-    changes : list of BlockChange
-        Changes since the owner last cleared it.
-
     Examples
     --------
     >>> tracker = PartTracker()
@@ -160,7 +158,8 @@
     """
 
     def __init__(self, *, may_try: Callable[[Parts], bool] = lambda parts: True):
-        self.changes: list[BlockChange] = []
+        self._changes: list[BlockChange] = []
+        self._unassessed_s: Seconds | None = None
         self._may_try = may_try
         self._reports: dict[Incarnation, dict[int, _Presence]] = {}
         self._answered_s: OrderedDict[str, Seconds] = OrderedDict()
@@ -170,8 +169,15 @@
     @property
     def blocks(self) -> list[PartBlock]:
         """The blocks that are in force."""
+        self._assess_news()
         return list(self._blocks.values())
 
+    def take_changes(self) -> list[BlockChange]:
+        """Return the changes of blocks since the last call."""
+        self._assess_news()
+        changes, self._changes = self._changes, []
+        return changes
+
     def record_crash(self, report: CrashReport) -> None:
         """Record a crash under a request, seen here or reported by a peer."""
         if not report.parts:
@@ -184,7 +190,7 @@
         )
         if len(self._reports) > MAX_REPORTS:
             del self._reports[next(iter(self._reports))]
-        self._assess(report.at_s)
+        self._request_assessment(report.at_s)
 
     def record_alive(self, incarnation: Incarnation, sent_s: Seconds) -> None:
         """Record that an upstream answered an attempt that was sent at ``sent_s``.
@@ -207,15 +213,14 @@
         begun_s : float
             Time at which the answer began, in seconds.
         """
-        is_news = False
         for part in parts:
             _remember(self._answered_s, part, begun_s)
-            is_news |= any(part in block.parts for block in self._blocks.values())
-        if is_news:
-            self._assess(begun_s)
+        if any(parts & block.parts for block in self._blocks.values()):
+            self._request_assessment(begun_s)
 
     def is_blocked(self, parts: Parts, now: Seconds) -> bool:
         """Return whether a request may not run anywhere, nor as a trial."""
+        self._assess_news()
         for block in self._matching(parts):
             block.last_seen_s = max(block.last_seen_s, now)
             if now < block.next_trial_s or not self._may_try(block.parts):
@@ -230,13 +235,14 @@
 
     def adopt(self, parts: Parts, since_s: Seconds, now: Seconds) -> None:
         """Put a block that a peer found in force, less the parts answered since."""
+        self._assess_news()
         rest = frozenset(p for p in parts if self._answered(p) < since_s)
         if not rest or any(known <= rest for known in self._blocks):
             return
         block = PartBlock(rest, since_s, next_trial_s=now + FIRST_TRIAL_S)
         block.last_seen_s = now
         self._blocks[rest] = block
-        self.changes.append(BlockChange(BlockEvent.ADOPTED, block))
+        self._changes.append(BlockChange(BlockEvent.ADOPTED, block))
 
     def answers_to_publish(
         self, *, min_age_s: Seconds = 1.0
@@ -274,12 +280,20 @@
 
     # Blame
 
+    def _request_assessment(self, at_s: Seconds) -> None:
+        self._unassessed_s = max(at_s, self._unassessed_s or at_s)
+
+    def _assess_news(self) -> None:
+        if self._unassessed_s is not None:
+            at_s, self._unassessed_s = self._unassessed_s, None
+            self._assess(at_s)
+
     def _assess(self, now: Seconds) -> None:
         """Update the blocks from all reports and answers."""
         found = list(self._find_causes())
         for parts, candidate in found:
             self._update_block(parts, candidate, now)
-        for block in self.blocks:
+        for block in list(self._blocks.values()):
             self._review(block, [parts for parts, _ in found])
 
     def _find_causes(self) -> Iterator[tuple[Parts, _Candidate]]:
@@ -357,7 +371,7 @@
         block.crashes = frozenset(candidate.crashes)
         block.contents = len(candidate.contents)
         if is_new:
-            self.changes.append(BlockChange(BlockEvent.BLOCKED, block))
+            self._changes.append(BlockChange(BlockEvent.BLOCKED, block))
 
     def _review(self, block: PartBlock, found: list[Parts]) -> None:
         """Narrow or remove a block that answers or other causes contradict."""
@@ -371,7 +385,7 @@
             if rest not in self._blocks:
                 block = dataclasses.replace(block, parts=rest)
                 self._blocks[rest] = block
-                self.changes.append(BlockChange(BlockEvent.BLOCKED, block))
+                self._changes.append(BlockChange(BlockEvent.BLOCKED, block))
         elif block.crashes and self._is_explained(block, found):
             self._remove(block, BlockEvent.EXPLAINED)
 
@@ -384,7 +398,7 @@
 
     def _remove(self, block: PartBlock, event: BlockEvent) -> None:
         del self._blocks[block.parts]
-        self.changes.append(BlockChange(event, block))
+        self._changes.append(BlockChange(event, block))
 
     def _answered(self, part: str) -> Seconds:
         """Return when the last answer to a part began, in seconds."""
--- a/shallotpoint/tests/test_part_blame.py
+++ b/shallotpoint/tests/test_part_blame.py
@@ -1,6 +1,7 @@
 """Prompt parts that crash upstreams, among sound ones at the same crashes."""
 
 import random
+from unittest import mock
 
 from shallotpoint.policy.actions import Expire, Refused
 from shallotpoint.policy.crash_reports import EXPIRY_S, CrashReport, Incarnation
@@ -113,6 +114,17 @@
             self.crash(f"u{number}", 1.0 + number * 0.005, "new")
         self.assertFalse(self.blocked("new"))
 
+    def test_reports_that_come_together_are_assessed_once(self):
+        # 640 reports of 40 upstreams that were lost at once took 0.8 s of each router.
+        with mock.patch.object(
+            self.tracker, "_assess", wraps=self.tracker._assess
+        ) as assess:
+            for number in range(40):
+                self.crash(f"u{number}", 1.0, *(f"start p{n}" for n in range(16)))
+            self.blocked("start p1")
+            self.blocked("start p2")
+        self.assertEqual(1, assess.call_count)
+
     def test_part_that_was_answered_needs_more_crashes(self):
         self.answer("part", 0.5)
         for number in range(MIN_CRASHES_AFTER_ANSWER):
@@ -140,8 +152,7 @@
     def block(self):
         for number in range(3):
             self.crash(f"u{number}", float(number), "bad")
-        [change] = self.tracker.changes
-        self.tracker.changes.clear()
+        [change] = self.tracker.take_changes()
         return change
 
     def test_block_names_its_evidence(self):
@@ -157,7 +168,7 @@
         self.assertTrue(self.blocked("bad"))
         self.answer("bad", 2.5)
         self.assertFalse(self.blocked("bad"))
-        self.assertIs(BlockEvent.ANSWERED, self.tracker.changes[-1].event)
+        self.assertIs(BlockEvent.ANSWERED, self.tracker.take_changes()[-1].event)
 
     def test_one_trial_at_a_time_is_let_through_less_and_less_often(self):
         self.block()
