Tell a poll of the in-memory store that its history was cut

Cause: more than 10,000 changes were cut without raising compacted_revision, so that a poll from further back missed changes instead of HistoryLost. Test: HistoryTests in test_kv_contract.py; failed before.

--- a/shallotpoint/coordination/memory_kv.py
+++ b/shallotpoint/coordination/memory_kv.py
@@ -33,7 +33,8 @@
     revision : int
         Revision of the last change.
     compacted_revision : int
-        Revision up to which changes were dropped by :meth:`forget_history`.
+        Revision up to which changes were dropped, by :meth:`forget_history` or as
+        there were too many.
     era : int
         Number of times that the store was restored from a backup.
     """
@@ -177,7 +178,13 @@
             for key in self._matching_keys(change):
                 del self._entries[key]
                 events.append(Change(key, None, self.revision))
-        self._history = (self._history + events)[-MAX_KEPT_CHANGES:]
+        self._history += events
+        if len(self._history) > MAX_KEPT_CHANGES:
+            # A revision is kept or dropped as a whole.
+            self.compacted_revision = self._history[-MAX_KEPT_CHANGES - 1].revision
+            self._history = [
+                c for c in self._history if c.revision > self.compacted_revision
+            ]
         for queue in self._watchers:
             queue.put_nowait(events)
 
--- a/shallotpoint/tests/test_kv_contract.py
+++ b/shallotpoint/tests/test_kv_contract.py
@@ -3,10 +3,13 @@
 import contextlib
 import random
 import time
+from unittest import mock
 
 import aiohttp
 
-from shallotpoint.coordination.memory_kv import MemoryKeyValue
+from shallotpoint.coordination import memory_kv
+from shallotpoint.coordination.kv import HistoryLost, Put
+from shallotpoint.coordination.memory_kv import MemoryKeyValue, MemoryStore
 from shallotpoint.httpd import serving
 from shallotpoint.platform_api.etcd import EtcdKeyValue
 from shallotpoint.platform_api.hosts import HostListError, HostState, HttpHostList
@@ -60,3 +63,14 @@
         self.assertEqual((HostState.LIVE, HostState.LEAVING), (live, leaving))
         # The lag exceeds the recorded history, so its oldest state is returned.
         self.assertEqual([HostState.LIVE], [host.state for host in late])
+
+
+class HistoryTests(TestCase):
+    def test_changes_that_were_dropped_as_too_many_are_reported_as_lost(self):
+        store = MemoryStore()
+        with mock.patch.object(memory_kv, "MAX_KEPT_CHANGES", 4):
+            for number in range(6):
+                store.txn([], [Put("a", b"%d" % number), Put("b", b"")])
+        last = store.revision
+        self.assertEqual(4, len(store.changes_after("", last - 2)))
+        self.assertRaises(HistoryLost, store.changes_after, "", last - 3)
