Answer 400 to empty messages in the engine's stand-in

Cause: with continue_final_message the last of no messages was read (IndexError). Test: ReadTests in test_engine_standin.py; failed before.

--- a/shallotpoint/standins/engine.py
+++ b/shallotpoint/standins/engine.py
@@ -79,6 +79,8 @@
         If the request is malformed.
     """
     messages = body["messages"]
+    if not messages:
+        raise ValueError("messages must not be empty")
     partial = ""
     if body.get("continue_final_message") and messages[-1]["role"] == "assistant":
         partial = messages[-1]["content"]
