Return the slot of a request that is cancelled as it gets it

Cause: the engine's stand-in gave a slot to a waiting request whose cancellation came before it ran on, and nobody returned the slot. Test: SlotTests in test_engine_standin.py; failed before.

--- a/shallotpoint/standins/engine.py
+++ b/shallotpoint/standins/engine.py
@@ -130,7 +130,12 @@
             fut: asyncio.Future = asyncio.get_running_loop().create_future()
             self._arrivals += 1
             heapq.heappush(self._waiting, (priority, self._arrivals, fut))
-            await fut
+            try:
+                await fut
+            except asyncio.CancelledError:
+                if fut.done() and not fut.cancelled():
+                    self._release()  # the slot was given before the cancellation
+                raise
         else:
             self.running += 1
         try:
