Use no copy of a peer that has not seen the store's return

Callers could see: a change not in force at a router that follows a peer of before the return, or of an earlier build that knows no eras: the peer has no changes after the higher revision and still confirms the copy. Change: a reply of an earlier era than the router's own copy is not used. Test: test_copy_of_a_peer_that_missed_the_return_confirms_nothing; failed before.

--- a/shallotpoint/coordination/copies.py
+++ b/shallotpoint/coordination/copies.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from shallotpoint.coordination.eras import split_era
 from shallotpoint.coordination.follow import PrefixFollower
 from shallotpoint.coordination.kv import (
     Change,
@@ -125,6 +126,8 @@
         reply = await self._request(request, wait_s)
         if not reply.complete:
             raise HistoryLost(f"{self.name} lacks changes after revision {after}")
+        if split_era(reply.revision).era < split_era(after).era:
+            raise Unavailable(f"the copy of {self.name} is of an earlier era")
         changes = tuple(_to_change(item) for item in reply.items)
         age_s, held_s = reply.age_ms / 1000, reply.held_ms / 1000
         return PollResult(changes, reply.revision, age_s, held_s)
