--- a/shallotpoint/policy/part_blame.py
+++ b/shallotpoint/policy/part_blame.py
@@ -260,7 +260,7 @@
 
     def record_published(self, part: str, begun_s: Seconds) -> None:
         """Record an answer that a peer published."""
-        self._published_s[part] = max(begun_s, self._published_s.get(part, -math.inf))
+        _remember(self._published_s, part, begun_s)
         self.record_answer(frozenset({part}), begun_s)
 
     def expire(self, now: Seconds) -> None:
