Use the group's rendezvous order for the routers that keep a block

part_blocks.rank sorted routers by a hash of its own beside overlay.rank, which does the same for the watchers of the configuration. Which router tries or stores a block may be another one; all routers still agree on it.

--- a/shallotpoint/controllers/part_blocks.py
+++ b/shallotpoint/controllers/part_blocks.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from shallotpoint.coordination import overlay
 from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.kv import Delete, Entry, KeyValue, KeyValueError, Put
 from shallotpoint.decoding import DECODE_ERRORS
@@ -55,8 +56,7 @@
 
 def rank(routers: Set[str], name: str, parts: Parts) -> int:
     """Return a router's place in the order that all routers agree on for some parts."""
-    order = sorted(routers | {name}, key=lambda r: hash64(f"{r}/{_text(parts)}"))
-    return order.index(name)
+    return overlay.rank({*routers, name}, _text(parts)).index(name)
 
 
 class PartBlockController:
