--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -19,13 +19,12 @@
 from shallotpoint.hashing import content_name
 from shallotpoint.metrics import Metrics
 from shallotpoint.policy.actions import Refused
+from shallotpoint.policy.prompts import logged_ids
 from shallotpoint.policy.ticket import Ticket
 from shallotpoint.results import RESULTS, Executed, Kind, Result, status_name
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.client import UpstreamClient, UpstreamFailure
 
-MAX_LOGGED_PARTS = 8
-
 _log = logging.getLogger("shallotpoint.requests")
 # Results for the caller in place of the retry codes, which callers never see.
 _FINAL_RESULTS = {
@@ -180,7 +179,7 @@
             extra={
                 "request": self.ticket.id,
                 "content": content_name(self.ticket.fingerprint),
-                "parts": sorted(self.ticket.parts)[:MAX_LOGGED_PARTS],
+                "parts": logged_ids(self.ticket.parts),
                 "connection": self.exchange.connection_label,
                 "pool": self.pool.pool.name,
                 "upstream": upstream,
@@ -389,7 +388,7 @@
         }
         if result is Result.POISON:
             log_fields["content"] = content_name(self.ticket.fingerprint)
-            log_fields["parts"] = sorted(self.ticket.parts)[:MAX_LOGGED_PARTS]
+            log_fields["parts"] = logged_ids(self.ticket.parts)
         record_request_end(
             self.services,
             self.caller,
--- a/shallotpoint/controllers/crashes.py
+++ b/shallotpoint/controllers/crashes.py
@@ -25,10 +25,10 @@
 from shallotpoint.policy.crash_reports import CrashReport, Incarnation
 from shallotpoint.policy.exposures import AttemptTracker
 from shallotpoint.policy.poison import PoisonTracker
+from shallotpoint.policy.prompts import logged_ids
 from shallotpoint.types import Clock, Seconds
 
 CONNECTING_REPORT_INTERVAL_S = 1.0
-MAX_LOGGED_PARTS = 8
 
 _log = logging.getLogger("shallotpoint.router")
 
@@ -168,7 +168,7 @@
         extra={
             "content": content_name(report.fingerprint),
             "upstream": report.upstream,
-            "parts": sorted(report.parts)[:MAX_LOGGED_PARTS],
+            "parts": logged_ids(report.parts),
             "source": source,
             "age_s": round(now - report.at_s, 3),
         },
--- a/shallotpoint/policy/prompts.py
+++ b/shallotpoint/policy/prompts.py
@@ -7,6 +7,7 @@
 from shallotpoint.hashing import content_name, hash64
 
 MAX_ID_CHARS = 32
+MAX_LOGGED_IDS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,3 +70,8 @@
         """
         shared = self.shared
         return shared[-1].id if shared else ""
+
+
+def logged_ids(parts: frozenset[str]) -> list[str]:
+    """Return ids of prompt parts in the order and number in which logs list them."""
+    return sorted(parts)[:MAX_LOGGED_IDS]
