Order the routers for a block only if the block may have to be written

Each router sorted all routers by hash for each block three times a second, also for blocks that the service has. A dictionary between the two steps goes.

--- a/shallotpoint/controllers/part_blocks.py
+++ b/shallotpoint/controllers/part_blocks.py
@@ -185,20 +185,17 @@
         if removed:
             await self._kv.txn([], [Delete(key) for key in removed])
         now = self._clock()
-        missing = {
-            self._key(block.parts): block.parts
-            for block in self._tracker.blocks
-            if self._stores(block.parts)
-        }
-        for key, parts in missing.items():
+        for block in self._tracker.blocks:
+            key = self._key(block.parts)
             if key in self._stored or now < self._write_due_s.get(key, -math.inf):
                 continue
+            if not self._stores(block.parts):
+                continue
             # A copy of the entries may be some seconds old.
             self._write_due_s[key] = now + REWRITE_PAUSE_S * self._rng.uniform(1.0, 2.0)
             lease = await self._kv.grant(LEASE_TTL_S)
-            await self._kv.txn(
-                [], [Put(key, msgspec.json.encode(sorted(parts)), lease)]
-            )
+            value = msgspec.json.encode(sorted(block.parts))
+            await self._kv.txn([], [Put(key, value, lease)])
 
     def _stores(self, parts: Parts) -> bool:
         return rank(self._routers(), self._gossip.name, parts) < WRITERS
