--- a/review/1/case.py
+++ b/review/1/case.py
@@ -121,8 +121,9 @@
             await deployment.read_body(reader, answer, None)
         status = answer.status if answer else None
         statuses[status] += 1
-        world.record.add("answered" if answer else "closed", id=attempt, status=status)
         signature = answer.headers.get(SIGNATURE, "") if answer else ""
+        what = "answered" if answer else "closed"
+        world.record.add(what, id=attempt, status=status, signature=signature)
         if status == 200 and not signature.endswith(f".{attempt}"):
             foreign.append(attempt)
         if answer is None and attempt in ran:
