Hand a connected socket's descriptor to its transport

Cause: uvloop's create_connection(sock=...), as aiohttp calls it, closes the descriptor if it is cancelled, but leaves its number in the socket object, which closes it again once it is collected. The number belongs to another connection by then.

Change: the loop of all commands passes uvloop a socket that gives up its descriptor as uvloop asks for the number, so that each descriptor has one owner at any time. This covers all clients (upstreams, store, load reports, sessions of aiohttp's own) and all that interrupts them (callers who leave, other attempts, connect timeouts, time limits, a stop).

--- a/shallotpoint/loop.py
+++ b/shallotpoint/loop.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import signal
+import socket
 from collections.abc import Callable, Collection, Coroutine, Iterator
 from typing import Any, TypeVar
 
@@ -19,9 +20,62 @@
 T = TypeVar("T")
 
 
+class _TransferredSocket:
+    """A connected socket whose descriptor belongs to whoever asks for its number.
+
+    It has the part of a socket's interface that uvloop uses to open a transport.
+    """
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self.family = sock.family
+        self.type = sock.type
+
+    def setblocking(self, flag: bool) -> None:
+        """Set the socket's blocking mode."""
+        self._sock.setblocking(flag)
+
+    def fileno(self) -> int:
+        """Detach the descriptor from the socket and return it."""
+        return self._sock.detach()
+
+    def close(self) -> None:
+        """Do nothing, as the transport closes the descriptor."""
+
+
+class _Loop(uvloop.Loop):
+    """uvloop's event loop, but each descriptor of a connection is closed once.
+
+    If ``create_connection(sock=...)`` of uvloop fails or is cancelled, its transport
+    closes the descriptor, but the socket object keeps the number and closes it again
+    when it is collected.  By then the number may belong to another connection.
+    """
+
+    async def create_connection(
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        host: Any = None,
+        port: Any = None,
+        *,
+        sock: socket.socket | None = None,
+        **options: Any,
+    ) -> Any:
+        """Open a connection, or make a transport of a connected TCP socket.
+
+        The descriptor of ``sock`` is detached from it once the transport is opened.
+        Until then, the socket remains the caller's, also after an error.
+        """
+        connected: Any = sock
+        if sock is not None and sock.family != socket.AF_UNIX:
+            connected = _TransferredSocket(sock)
+        return await super().create_connection(
+            protocol_factory, host, port, sock=connected, **options
+        )
+
+
 def run_loop(main: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine on uvloop, with io_uring off."""
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=_Loop) as runner:
         return runner.run(main)
 
 
