Read the bounds in seconds, also as fractions

Cause: the template made milliseconds by adding three zeros to the text, and the settings took whole numbers only. One unusable bound ended the process.

Change: grace_s and retry_window_s are read in seconds, all bounds may be fractions. Unknown keys and other tables are checked as before.

--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -321,7 +321,7 @@
         work; what is in flight ends by itself or just before the grace time does.
         """
         started_s = self._clock()
-        until_s = started_s + self.bounds.grace_ms / 1000 - STOP_MARGIN_S
+        until_s = started_s + self.bounds.grace_s - STOP_MARGIN_S
         self._stops_s = until_s
         self._stopping(StopSection(stopping=True))
         _log.info("stopping", extra={"in_flight": self.pools.in_flight})
@@ -597,5 +597,5 @@
     return SharedRetryBudget(
         ratio=bounds.retry_ratio,
         slack=bounds.retry_slack,
-        window_s=bounds.retry_window_ms / 1000,
+        window_s=bounds.retry_window_s,
     )
--- a/shallotpoint/daemons/serving.py
+++ b/shallotpoint/daemons/serving.py
@@ -22,10 +22,10 @@
 
 def run_route_router(path: str, edges: Callable[[RouteSettings], Edges]) -> int:
     """Run a router until SIGTERM; return the exit code of the process."""
+    set_up_bounded_logging("info")
     try:
         settings = load_route_settings(path)
     except ExceptionGroup as group:
-        set_up_bounded_logging("info")
         for exc in group.exceptions:
             _log.error("bad setting", extra={"reason": str(exc)})
         return 2
@@ -59,7 +59,7 @@
             continue
         seen = stamp
         try:
-            settings = load_route_settings(path)
+            settings = load_route_settings(path, last_bounds=router.bounds)
         except ExceptionGroup as group:
             for exc in group.exceptions:
                 _log.error(
--- a/shallotpoint/settings.py
+++ b/shallotpoint/settings.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import ipaddress
+import logging
+import math
 import tomllib
 import types
 import typing
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import MISSING, dataclass, field, fields, is_dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -16,6 +18,8 @@
 
 T = TypeVar("T")
 
+_log = logging.getLogger("shallotpoint.router")
+
 
 def _setting(check: Callable[[Any], str | None], **kwargs: Any) -> Any:
     """Declare a setting; ``check`` returns what is allowed if a value is not."""
@@ -46,11 +50,11 @@
 
 
 def _positive(value: float) -> str | None:
-    return None if value > 0 else "a number above 0"
+    return None if 0 < value < math.inf else "a number above 0"
 
 
 def _not_negative(value: float) -> str | None:
-    return None if value >= 0 else "a number from 0 up"
+    return None if 0 <= value < math.inf else "a number from 0 up"
 
 
 def _sha256(value: str) -> str | None:
@@ -215,20 +219,20 @@
 
     Attributes
     ----------
-    withdrawn_ms : int
+    withdrawn_ms : float
         A withdrawn key is refused this long after its removal, in ms.
-    grace_ms : int
-        A planned stop ends within this, in ms.
-    retry_ratio, retry_slack, retry_window_ms
+    grace_s : float
+        A planned stop ends within this, in seconds.
+    retry_ratio, retry_slack, retry_window_s : float
         What all routers together may send again to one pool: a part of its
-        requests and a number, in each window of this length in ms.
+        requests and a number, in each window of this length in seconds.
     """
 
-    withdrawn_ms: int = _setting(_positive, default=5_000)
-    grace_ms: int = _setting(_positive, default=8_000)
+    withdrawn_ms: float = _setting(_positive, default=5_000.0)
+    grace_s: Seconds = _setting(_positive, default=8.0)
     retry_ratio: float = _setting(_not_negative, default=0.2)
     retry_slack: float = _setting(_not_negative, default=10.0)
-    retry_window_ms: int = _setting(_positive, default=10_000)
+    retry_window_s: Seconds = _setting(_positive, default=10.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,9 +251,46 @@
     return read_settings(_load(path))
 
 
-def load_route_settings(path: str | Path) -> RouteSettings:
-    """Read and check the settings file of a router that serves routes."""
-    return _read_all(RouteSettings, _load(path))
+def load_route_settings(
+    path: str | Path, *, last_bounds: BoundSettings = BoundSettings()
+) -> RouteSettings:
+    """Read and check the settings file of a router that serves routes.
+
+    A bound that is not a number in its range is logged, and the last one is kept.  The
+    platform fills in the bounds, and a router must also start if one is unusable.
+
+    Parameters
+    ----------
+    last_bounds : BoundSettings
+        Bounds in force.
+    """
+    raw = dict(_load(path))
+    raw["bounds"], ignored = _replace_unusable(raw.get("bounds", {}), last_bounds)
+    settings = _read_all(RouteSettings, raw)
+    for exc in ignored:
+        _log.error("bad setting ignored", extra={"reason": str(exc)})
+    return settings
+
+
+def _replace_unusable(
+    raw: Any, last: BoundSettings
+) -> tuple[Any, Sequence[SettingError]]:
+    """Return a table of bounds with the last value for each unusable one, and why."""
+    if not isinstance(raw, Mapping):
+        return raw, ()
+    hints = typing.get_type_hints(BoundSettings)
+    usable = dict(raw)
+    ignored: list[SettingError] = []
+    for spec in fields(BoundSettings):
+        if spec.name not in raw:
+            continue
+        faults: list[SettingError] = []
+        where = _join("bounds", spec.name)
+        _read_value(hints[spec.name], raw[spec.name], spec, where, faults)
+        if faults:
+            usable[spec.name] = getattr(last, spec.name)
+            ignored += faults
+    return usable, ignored
 
 
 def _load(path: str | Path) -> Mapping[str, Any]:
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -44,12 +44,12 @@
     return Put("config", json.dumps({"version": version}).encode())
 
 
-def settings(name, grace_ms=2_500):
+def settings(name, grace_s=2.5):
     return RouteSettings(
         RouterSettings(name, "here"),
         RouteListenSettings(*(free_address() for _ in range(4))),
         StoreSettings("127.0.0.1:9"),
-        BoundSettings(grace_ms=grace_ms),
+        BoundSettings(grace_s=grace_s),
     )
 
 
@@ -208,7 +208,7 @@
             await line.answer(200, b"whole")
 
         async def scenario(kv, session):
-            async with router(kv, grace_ms=5_500) as made:
+            async with router(kv, grace_s=5.5) as made:
                 await eventually(made.ready)
                 await eventually(lambda: made.pools.runner("desk").scheduler.upstreams)
                 await ask(session, made, left_ms=2_000)
