Let idle connections use a longer idle time at once

What callers could see: a configuration that makes idle-timeout-ms longer was not taken over by connections that were idle already, nor by those whose request had begun before. They were closed by the earlier limit, while their callers, who know the new one, may use them, so that a request that was just sent got neither an answer nor a refusal.

Change: the limit is read when a connection becomes idle and again when its time is over; if it has grown, the connection waits on.

Tests: two, which failed before (a kept connection, and one without any request yet, each idle as the limit grows threefold).

--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -59,11 +59,13 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._number = next(_numbers)
         self._requests = 0
+        self._idle_since_s: Seconds = 0.0
         self._unanswered: list[RequestResponseCycle] = []
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
-        self._expect_head(self._limits.idle_s)
+        self._idle_since_s = self.loop.time()
+        self._close_when_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._head_came()
@@ -90,11 +92,31 @@
 
     def on_headers_complete(self) -> None:
         self._head_came()
-        self.timeout_keep_alive = self._limits.idle_s  # type: ignore[assignment]
         super().on_headers_complete()
         waiting = [c for c in self._unanswered if not c.response_complete]
         self._unanswered = [*waiting, self.cycle]
 
+    def on_response_complete(self) -> None:
+        self._idle_since_s = self.loop.time()
+        self.timeout_keep_alive = self._limits.idle_s  # type: ignore[assignment]
+        super().on_response_complete()
+
+    def timeout_keep_alive_handler(self) -> None:
+        self.timeout_keep_alive_task = None
+        self._close_when_idle()
+
+    def _close_when_idle(self) -> None:
+        """Close the connection once it has been idle for the limit in force then.
+
+        A caller that knows of a longer limit may use the connection for that long.
+        """
+        left_s = self._idle_since_s + self._limits.idle_s - self.loop.time()
+        if left_s > 0:
+            self._head_came()
+            self._head_timer = self.loop.call_later(left_s, self._close_when_idle)
+        elif not self.transport.is_closing():
+            self.transport.close()
+
     def _expect_head(self, within_s: Seconds) -> None:
         self._head_came()
         self._head_timer = self.loop.call_later(within_s, self._too_slow, within_s)
@@ -132,7 +154,8 @@
     Attributes
     ----------
     limits : ConnectionLimits
-        Changes hold for requests that begin later.
+        Changes hold for requests that begin later; a longer idle time also holds for
+        connections that are idle.
     """
 
     def __init__(
--- a/shallotpoint/tests/test_httpd.py
+++ b/shallotpoint/tests/test_httpd.py
@@ -28,6 +28,7 @@
         async def main():
             async with serving(app) as server:
                 server.limits.idle_s, server.limits.head_s = IDLE_S, HEAD_S
+                self.limits = server.limits
                 host, _, port = server.address.rpartition(":")
                 reader, writer = await asyncio.open_connection(host, int(port))
                 try:
@@ -63,6 +64,32 @@
         self.assertThat(took_s, GreaterThan(IDLE_S / 2))
         self.assertThat(took_s, LessThan(3 * IDLE_S))
 
+    def check_longer_idle_time(self, first_request):
+        async def scenario(reader, writer):
+            writer.write(first_request)
+            await asyncio.sleep(IDLE_S / 2)
+            self.limits.idle_s = 3 * IDLE_S
+            await asyncio.sleep(1.5 * IDLE_S)
+            writer.write(HEAD + b"\r\n")
+            started_s = time.monotonic()
+            raw = b""
+            while data := await asyncio.wait_for(reader.read(4096), 5.0):
+                raw += data
+            return raw.count(b"HTTP/1.1 200 OK\r\n"), time.monotonic() - started_s
+
+        answers, took_s = self.talk(scenario)
+        self.assertEqual(2 if first_request else 1, answers)
+        self.assertThat(took_s, GreaterThan(2 * IDLE_S))
+        self.assertThat(took_s, LessThan(6 * IDLE_S))
+
+    def test_longer_idle_time_holds_for_a_kept_connection(self):
+        # Guards against a connection that is closed by the limit of an earlier
+        # configuration while its caller may use it.
+        self.check_longer_idle_time(HEAD + b"\r\n")
+
+    def test_longer_idle_time_holds_for_a_connection_without_a_request(self):
+        self.check_longer_idle_time(b"")
+
     def test_slow_head_ends_the_connection(self):
         async def scenario(reader, writer):
             writer.write(HEAD)
