Refuse requests that a planned stop would probably cut

Another operator's report: in a planned stop, requests were passed on late in the grace time and cut at its end without an answer, among them some that may not be repeated.

Cause here: a request's time limit was compared with the stop only as its head arrived. One whose body was on its way, or that waited in a queue, as SIGTERM came, was passed on until the very end.

Change: the check is repeated after the body, and each poll of a stopping router refuses queued requests (503, not run, Retry-After 0.05 s, as another router can serve them at once) that would probably end after the stop: by their time limit, or by three times the mean time that requests of their class hold a slot.

Tests: a request in the queue and one with a late body; both failed before (no answer within a second; passed on and answered 200 although its limit was beyond the stop).

--- a/shallotpoint/callers/routes.py
+++ b/shallotpoint/callers/routes.py
@@ -24,13 +24,11 @@
 from shallotpoint.policy.freshness import FreshnessRule, may_authorise
 from shallotpoint.policy.model import Organisation
 from shallotpoint.policy.routes import Route, RouteKind, service_class_of
+from shallotpoint.policy.scheduler import STOP_RETRY_S
 from shallotpoint.policy.ticket import Ticket
 from shallotpoint.results import Result
 from shallotpoint.types import Clock, Seconds
 
-# Retry-After during a planned stop; short, as another router can serve the request
-# at once.
-STOP_RETRY_S = 0.05
 BODY_TIMEOUT_S = 10.0  # time limit for reading the body of a request
 _PLAIN_TEXT = b"text/plain; charset=utf-8"
 _NO_ORGANISATION = Organisation("", "")
@@ -118,13 +116,25 @@
         exchange.request_id = facts.id
         config = self._get_config()
         route = self._find_route(config, exchange)
-        self._check_planned_stop(route, facts)
+        time_limit_at_s = arrived_s + route.timeout_s
+        if facts.time_left_s is not None:
+            time_limit_at_s = min(time_limit_at_s, arrived_s + facts.time_left_s)
+        self._check_planned_stop(time_limit_at_s, arrived_s)
         organisation = self._authenticate(config, route, facts)
         body = await exchange.read_body(
             max_bytes=config.routing.limits.max_body_bytes, timeout_s=BODY_TIMEOUT_S
         )
+        # A stop may have begun while the body was on its way.
+        self._check_planned_stop(time_limit_at_s, time.monotonic())
         await self._run_request(
-            exchange, config, route, organisation, facts, body, arrived_s
+            exchange,
+            config,
+            route,
+            organisation,
+            facts,
+            body,
+            arrived_s=arrived_s,
+            time_limit_at_s=time_limit_at_s,
         )
 
     def _get_config(self) -> Config:
@@ -133,14 +143,10 @@
             raise RequestError(Result.NOT_CONFIGURED, retry_after_s=0.5)
         return config
 
-    def _check_planned_stop(self, route: Route, facts: RequestInfo) -> None:
+    def _check_planned_stop(self, time_limit_at_s: Seconds, now: Seconds) -> None:
+        """Raise RequestError if a planned stop may cut the request."""
         left_s = self.stop_left_s()
-        if left_s is None:
-            return
-        limit_s = route.timeout_s
-        if facts.time_left_s is not None:
-            limit_s = min(limit_s, facts.time_left_s)
-        if limit_s > left_s:
+        if left_s is not None and time_limit_at_s - now > left_s:
             raise RequestError(Result.STOPPING, retry_after_s=STOP_RETRY_S)
 
     def _find_route(self, config: Config, exchange: Exchange) -> Route:
@@ -175,15 +181,14 @@
         organisation: Organisation,
         facts: RequestInfo,
         body: bytes,
+        *,
         arrived_s: Seconds,
+        time_limit_at_s: Seconds,
     ) -> None:
         pool = self.services.pools.runner(route.pool_for(facts.id))
         if pool is None:
             raise RequestError(Result.NO_UPSTREAM, retry_after_s=0.5)
         service_class = service_class_of(route, organisation.tier, config.routing.order)
-        time_limit_at_s = arrived_s + route.timeout_s
-        if facts.time_left_s is not None:
-            time_limit_at_s = min(time_limit_at_s, arrived_s + facts.time_left_s)
         scope = exchange.scope
         path = scope["raw_path"]
         content = b"\0".join((path, organisation.name.encode(), body))
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -267,6 +267,7 @@
         self._on_permits_needed = on_permits_needed
         self._before_poll = before_poll
         self._runners: dict[str, PoolRunner] = {}
+        self._stops_at_s: Seconds | None = None
         for section in _INPUT_SECTIONS:
             board.on_change(section, lambda _: self.refresh())
 
@@ -283,6 +284,11 @@
         for runner in self.runners():
             runner.poll()
 
+    def begin_stop(self, stops_at_s: Seconds) -> None:
+        """Refuse queued requests from now on that would not end before a stop does."""
+        self._stops_at_s = stops_at_s
+        self.refresh()
+
     def update_gauges(self, metrics: Metrics) -> None:
         """Update the gauges of queued and running requests."""
         for runner in self.runners():
@@ -318,11 +324,13 @@
                 )
                 self._runners[name] = runner
             runner.pool = pool
+            runner.scheduler.stops_at_s = self._stops_at_s
             runner.scheduler.set_classes(config.classes)
             runner.scheduler.set_upstreams(self._build_slots(pool))
             runner.poll()
         for name in self._runners.keys() - config.pools.keys():
             runner = self._runners[name]
+            runner.scheduler.stops_at_s = self._stops_at_s
             runner.scheduler.set_upstreams({})
             if not runner.scheduler.requests:
                 del self._runners[name]
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -324,6 +324,7 @@
         until_s = started_s + self.bounds.grace_s - STOP_MARGIN_S
         self._stops_s = until_s
         self._stopping(StopSection(stopping=True))
+        self.pools.begin_stop(until_s)
         _log.info("stopping", extra={"in_flight": self.pools.in_flight})
         leave_s = min(started_s + LEAVE_S, until_s)
         with contextlib.suppress(TimeoutError):
--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -44,6 +44,11 @@
 SWEEP_INTERVAL_S = 0.015  # shortest time between two time-based checks of requests
 STALL_CHECK_INTERVAL_S = 0.25
 SUSPECT_CLEARED_AFTER_S = 5.0  # requests that run this long are no crash suspects
+# Few requests hold a slot for more than this many times the mean of their class.
+HOLD_TIMES_TO_END = 3.0
+# Retry-After during a planned stop; short, as another router can serve the request
+# at once.
+STOP_RETRY_S = 0.05
 
 
 class Scheduler(PoolView):
@@ -68,6 +73,11 @@
     limits : UpstreamLimits, optional
         Upstreams that need permits; shared by the pools of a router.
 
+    Attributes
+    ----------
+    stops_at_s : float or None
+        When a planned stop of the router ends; None if none has begun.
+
     Examples
     --------
     >>> scheduler = Scheduler()
@@ -113,6 +123,7 @@
         self._last_sweep_s: Seconds = -math.inf
         self._last_stall_check_s: Seconds = -math.inf
         self._credits_changed = False
+        self.stops_at_s: Seconds | None = None
 
     # Configuration
 
@@ -306,6 +317,8 @@
             actions += self._preempt_over_credits(now)
         if self._state.limits:
             self._state.limits.reset_demand(self.upstreams)
+        if self.stops_at_s is not None:
+            actions += self._expire_before_stop(self.stops_at_s, now)
         if self.waiting_count:
             actions += self._dispatch(now)
             actions += self._preempt(now)
@@ -392,6 +405,22 @@
             actions.append(Expire(ticket, Result.UPSTREAMS_LIMITED, wait_s))
         return actions
 
+    def _expire_before_stop(self, stops_at_s: Seconds, now: Seconds) -> list[Action]:
+        """Expire queued requests that the router's stop would probably cut."""
+        actions: list[Action] = []
+        for name, queue in self._state.queues.items():
+            hold_s = HOLD_TIMES_TO_END * self._state.demand[name].mean_hold_s
+            for ticket in list(queue):
+                ends_at_s = now + hold_s
+                if ticket.time_limit_at_s is not None:
+                    ends_at_s = min(ends_at_s, ticket.time_limit_at_s)
+                if ends_at_s <= stops_at_s or self.requests[ticket.id].tokens:
+                    continue
+                queue.remove(ticket.id)
+                self._remove_request(self.requests[ticket.id])
+                actions.append(Expire(ticket, Result.STOPPING, STOP_RETRY_S))
+        return actions
+
     def _update_shares(self, now: Seconds) -> None:
         state = self._state
         waiting = {name: len(queue) for name, queue in state.queues.items()}
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -9,7 +9,6 @@
 import aiohttp
 from testtools.matchers import LessThan
 
-from shallotpoint.callers.routes import STOP_RETRY_S
 from shallotpoint.controllers.sections import ConfigSection, HostsSection
 from shallotpoint.coordination.kv import Delete, Put
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
@@ -17,6 +16,7 @@
 from shallotpoint.loop import run_loop
 from shallotpoint.policy.configuration import InvalidConfig
 from shallotpoint.policy.routes import RouteKind
+from shallotpoint.policy.scheduler import STOP_RETRY_S
 from shallotpoint.settings import (
     BoundSettings,
     RouteListenSettings,
@@ -31,6 +31,7 @@
 from shallotpoint.tests.test_directory import put_upstream, read_upstream
 
 ROUTE = route(RouteKind.NON_IDEMPOTENT)
+SLOTS = 4  # of the upstream
 
 
 def read_config(raw):
@@ -71,7 +72,7 @@
 
 def _in_desk(host):
     return type(host)(
-        host.name, host.role, host.address, host.data_centre, pool="desk", slots=4
+        host.name, host.role, host.address, host.data_centre, pool="desk", slots=SLOTS
     )
 
 
@@ -249,6 +250,67 @@
         self.assertEqual(STOP_RETRY_S, retry_s)
         self.assertThat(took_s, LessThan(2.5))
 
+    def test_lost_request_in_the_queue_is_refused_if_the_stop_would_cut_it(self):
+        # Guards against a request that is passed on late in the grace time and cut.
+        async def hang(line: ScriptedConnection) -> None:
+            await line.closed_by_peer()
+
+        async def scenario(kv, session):
+            async with router(kv) as made:
+                await eventually(made.ready)
+                scheduler = made.pools.runner("desk").scheduler
+                await eventually(lambda: scheduler.upstreams)
+                asking = [
+                    asyncio.create_task(
+                        ask(session, made, request=f"r{number}", left_ms=9_000)
+                    )
+                    for number in range(SLOTS + 1)
+                ]
+                await eventually(lambda: scheduler.waiting_count)
+                # As known from earlier requests.
+                scheduler._state.demand["desk"].mean_hold_s = 1.0
+                stopping = asyncio.create_task(made.stop())
+                done, _ = await asyncio.wait(
+                    asking, timeout=1.0, return_when=asyncio.FIRST_COMPLETED
+                )
+                answers = [task.result() for task in done]
+                await stopping
+            await asyncio.gather(*asking, return_exceptions=True)
+            return [(status, headers["retry-after"]) for status, _, headers in answers]
+
+        self.assertEqual([(503, f"{STOP_RETRY_S:.2f}")], self.play(scenario, hang))
+
+    def test_lost_request_whose_body_ends_late_in_a_stop_is_refused(self):
+        # Guards against a request that is checked only as its head arrives.
+        received = []
+
+        async def answer(line: ScriptedConnection) -> None:
+            received.append(line.request)
+            await line.answer()
+
+        async def scenario(kv, session):
+            async with router(kv) as made:
+                await eventually(made.ready)
+                await eventually(lambda: made.pools.runner("desk").scheduler.upstreams)
+                host, _, port = made.settings.listen.callers.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    f"POST /desk/1 HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: r1\r\n"
+                    f"x-key: {KEY}\r\ncontent-length: 4\r\n\r\nbo".encode()
+                )
+                await asyncio.sleep(0.1)
+                stopping = asyncio.create_task(made.stop())
+                await asyncio.sleep(0.1)
+                writer.write(b"dy")
+                status = await reader.readline()
+                writer.close()
+                await stopping
+                return status
+
+        status = self.play(scenario, answer)
+        self.assertEqual(b"HTTP/1.1 503 Service Unavailable\r\n", status)
+        self.assertEqual([], received)
+
     def test_work_in_flight_ends_whole(self):
         async def slow(line: ScriptedConnection) -> None:
             await asyncio.sleep(0.4)
