Answer requests that a planned stop ends

What callers saw: a request that was still running at the end of a planned stop got "500 Internal Server Error" as text from the server library, with an error in the log, or no answer if its connection was closed before.

Cause: the servers' tasks were cancelled at the end of the grace time, and nothing ended the requests before.

Change: shortly before, the router ends what is left: 502 (executed: unknown) for a request that is at an upstream, 503 for one that has not run; a stream that has begun is cut as before.

Test: a call that does not end; failed before (500, no error object).

--- a/shallotpoint/callers/run.py
+++ b/shallotpoint/callers/run.py
@@ -195,7 +195,7 @@
         self._attempt_tasks[upstream] = task
 
     def expire(self, result: Result, retry_after_s: Seconds) -> None:
-        """End a request that waited in the queue for too long.
+        """End a request that waited for too long, or that the router's stop would cut.
 
         Parameters
         ----------
@@ -204,7 +204,8 @@
         retry_after_s : float
             Time after which the caller may retry, in seconds.
         """
-        executed = Executed.UNKNOWN if self.may_have_run else None
+        may_have_run = self.may_have_run or self._attempt_tasks
+        executed = Executed.UNKNOWN if may_have_run else None
         self._settle(
             RequestError(result, executed=executed, retry_after_s=retry_after_s)
         )
--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -24,7 +24,7 @@
 from shallotpoint.policy.limits import Permit, PermitsNeeded
 from shallotpoint.policy.model import Pool
 from shallotpoint.policy.poison import MAX_REQUESTS_PER_CRASH, PoisonTracker
-from shallotpoint.policy.scheduler import Scheduler
+from shallotpoint.policy.scheduler import STOP_RETRY_S, Scheduler
 from shallotpoint.policy.state import Slots
 from shallotpoint.policy.ticket import Ticket
 from shallotpoint.results import Result
@@ -50,7 +50,7 @@
         """
 
     def expire(self, result: Result, retry_after_s: Seconds) -> None:
-        """End the request, which has not run, with a result code.
+        """End the request with a result code.
 
         Parameters
         ----------
@@ -193,6 +193,11 @@
         self.scheduler.abandon(ticket_id, self._clock())
         self.poll()
 
+    def end_all(self) -> None:
+        """End all requests, as the router stops."""
+        for handler in list(self._handlers.values()):
+            handler.expire(Result.STOPPING, STOP_RETRY_S)
+
     def poll(self) -> None:
         """Poll the scheduler and execute the actions that are due."""
         if self._polling:
@@ -289,6 +294,11 @@
         self._stops_at_s = stops_at_s
         self.refresh()
 
+    def end_all(self) -> None:
+        """End all requests of all pools, as the router stops."""
+        for runner in self.runners():
+            runner.end_all()
+
     def update_gauges(self, metrics: Metrics) -> None:
         """Update the gauges of queued and running requests."""
         for runner in self.runners():
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -311,6 +311,25 @@
         self.assertEqual(b"HTTP/1.1 503 Service Unavailable\r\n", status)
         self.assertEqual([], received)
 
+    def test_work_that_does_not_end_gets_an_answer_at_the_end_of_a_stop(self):
+        # Guards against a cut connection, and against status 500 of the server library.
+        async def hang(line: ScriptedConnection) -> None:
+            await line.closed_by_peer()
+
+        async def scenario(kv, session):
+            async with router(kv) as made:
+                await eventually(made.ready)
+                await eventually(lambda: made.pools.runner("desk").scheduler.upstreams)
+                asking = asyncio.create_task(ask(session, made, left_ms=9_000))
+                await eventually(lambda: made.pools.in_flight)
+                await made.stop()
+            status, body, _ = await asking
+            return status, json.loads(body)["error"]["executed"]
+
+        with self.assertNoLogs("uvicorn.error", "ERROR"):
+            answer = self.play(scenario, hang)
+        self.assertEqual((502, "unknown"), answer)
+
     def test_work_in_flight_ends_whole(self):
         async def slow(line: ScriptedConnection) -> None:
             await asyncio.sleep(0.4)
