Read the settings once more as a stop begins

What callers could see: requests cut at the end of a planned stop, as the platform killed the router before its stop was over.

Cause: the settings file may change without a signal and is looked at twice a second. A grace time that became shorter just before SIGTERM was not known to the router, which planned its stop with the longer one.

Change: the file is read as SIGTERM comes.

--- a/shallotpoint/daemons/serving.py
+++ b/shallotpoint/daemons/serving.py
@@ -45,6 +45,8 @@
                 await stop.wait()
             finally:
                 reloading.cancel()
+            # The bounds may have changed since the file was looked at.
+            _read_again(path, router, on_signal=False)
             await router.stop()
 
 
@@ -58,16 +60,19 @@
         if stamp == seen and not asked:
             continue
         seen = stamp
-        try:
-            settings = load_route_settings(path, last_bounds=router.bounds)
-        except ExceptionGroup as group:
-            for exc in group.exceptions:
-                _log.error(
-                    "bad setting, the last ones stay", extra={"reason": str(exc)}
-                )
-            continue
-        router.take_bounds(settings.bounds)
-        _log.info("settings read again", extra={"signal": asked})
+        _read_again(path, router, on_signal=asked)
+
+
+def _read_again(path: str, router: RouteRouter, *, on_signal: bool) -> None:
+    """Put the bounds of the settings file in force; keep the last ones on errors."""
+    try:
+        settings = load_route_settings(path, last_bounds=router.bounds)
+    except ExceptionGroup as group:
+        for exc in group.exceptions:
+            _log.error("bad setting, the last ones stay", extra={"reason": str(exc)})
+        return
+    router.take_bounds(settings.bounds)
+    _log.info("settings read again", extra={"signal": on_signal})
 
 
 def _stamp(path: str) -> tuple[Seconds, int, int]:
