Parse a request that offers an upgrade as if it offered none

Cause: the parser ends a message at its head if it offers an upgrade, and the server library feeds it the body as new messages, or drops a body that is in the same segment.

Change: the head is parsed once more without its Upgrade by a new parser, which then reads the body as the head's length or chunks say. CONNECT is refused with 400.

--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any, cast
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
@@ -75,6 +76,10 @@
                 cycle.message_event.set()
         super().connection_lost(exc)
 
+    def on_message_complete(self) -> None:
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def on_message_begin(self) -> None:
         super().on_message_begin()
         self._requests += 1
@@ -90,8 +95,43 @@
             )
         self._expect_head(self._limits.head_s)
 
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; an offer of an upgrade is ignored.
+
+        The parser ends a request that offers an upgrade at its head.  It is parsed
+        again without the offer, so that its body is read as such.
+        """
+        self._unset_keepalive_if_required()
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                head = self._encode_head_without_offer()
+                if head is None:
+                    self.send_400_response("Tunnels are not supported.")
+                    return
+                self.parser = _make_parser(self)
+                self._requests -= 1
+                data = head + data[exc.args[0] :]
+            except httptools.HttpParserError:
+                self.send_400_response("Invalid HTTP request received.")
+                return
+
+    def _encode_head_without_offer(self) -> bytes | None:
+        """Return the head of the request without its ``Upgrade``; None for CONNECT."""
+        method = self.parser.get_method()
+        if method == b"CONNECT":
+            return None
+        version = self.parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (method, self.url, version)]
+        lines += [b"%s: %s" % pair for pair in self.headers if pair[0] != b"upgrade"]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def on_headers_complete(self) -> None:
         self._head_came()
+        if self.parser.should_upgrade():
+            return  # the request is parsed again
         super().on_headers_complete()
         waiting = [c for c in self._unanswered if not c.response_complete]
         self._unanswered = [*waiting, self.cycle]
@@ -133,6 +173,14 @@
         self.transport.close()
 
 
+def _make_parser(protocol: HttpToolsProtocol) -> httptools.HttpRequestParser:
+    """Return a parser as the protocol makes it for a connection."""
+    parser = httptools.HttpRequestParser(protocol)
+    with contextlib.suppress(AttributeError):
+        parser.set_dangerous_leniencies(lenient_data_after_close=True)
+    return parser
+
+
 class _QuietServer(uvicorn.Server):
     """A uvicorn server that leaves signals to the daemon."""
 
--- a/shallotpoint/tests/test_httpd.py
+++ b/shallotpoint/tests/test_httpd.py
@@ -1,14 +1,16 @@
 """Time limits on callers' connections, and answers that are cut."""
 
 import asyncio
+import collections
 import contextlib
 import time
 
 from testtools.matchers import GreaterThan, LessThan
 
-from shallotpoint.callers.exchange import Exchange
+from shallotpoint.callers.exchange import CallerGone, Exchange
 from shallotpoint.daemons.route_router import STOP_MARGIN_S
 from shallotpoint.httpd import HttpServer, serving
+from shallotpoint.loop import run_loop
 from shallotpoint.testing.cases import TestCase
 
 HEAD = b"GET / HTTP/1.1\r\nHost: shop.example\r\n"
@@ -139,6 +141,95 @@
         self.assertFalse(raw.endswith(b"0\r\n\r\n"), raw)
 
 
+class ParsedRequestTests(TestCase):
+    """What the application receives for the bytes that a caller sends."""
+
+    def receive(self, *connections):
+        """Send segments on each connection, of which the last request closes it.
+
+        Returns
+        -------
+        list of tuple
+            For each connection, the requests that the application received (method,
+            path, headers, body), and the raw answers.
+        """
+        received = collections.defaultdict(list)
+
+        async def app(scope, receive, send):
+            exchange = Exchange(scope, receive, send, "r1")
+            with contextlib.suppress(CallerGone):
+                body = await exchange.read_body(max_bytes=1 << 20, timeout_s=1.0)
+                request = scope["method"], scope["path"], dict(scope["headers"]), body
+                received[scope["client"][1]].append(request)
+                await exchange.send_answer(200, b"{}")
+
+        async def talk(address, segments):
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            own_port = writer.get_extra_info("sockname")[1]
+            answers = b""
+            with contextlib.suppress(ConnectionError):
+                for segment in segments:
+                    writer.write(segment)
+                    await asyncio.sleep(0.002)
+                answers = await asyncio.wait_for(reader.read(), 3.0)
+            writer.close()
+            return received[own_port], answers
+
+        async def main():
+            async with serving(app) as server:
+                talks = [talk(server.address, segments) for segments in connections]
+                return await asyncio.gather(*talks)
+
+        return self.run_async(main())
+
+    run_loop = staticmethod(run_loop)
+
+    def test_unasked_body_of_a_request_that_offers_an_upgrade_is_its_body(self):
+        # Guards against review case 2: the body ran as a request of its own.
+        quoted = b"POST /quoted HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nno"
+        cases = []
+        for offer in (
+            b"Connection: Upgrade, Settings\r\nUpgrade: h2c\r\nSettings: AA",
+            b"Upgrade: websocket\r\nConnection: keep-alive, upgrade",
+            b"Connection: upgrade\r\nUpgrade: a/1\r\nUpgrade: b",
+        ):
+            for framing, body in (
+                (b"Content-Length: %d" % len(quoted), quoted),
+                (
+                    b"Transfer-Encoding: chunked",
+                    b"%x\r\n%s\r\n0\r\n\r\n" % (len(quoted), quoted),
+                ),
+            ):
+                first = b"POST /first?a=b HTTP/1.1\r\nHost: h\r\n%s\r\n%s\r\n\r\n%s"
+                raw = first % (offer, framing, body)
+                raw += b"PUT /second HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                cases += [(raw[:cut], raw[cut:]) for cut in range(len(raw))]
+        for case, (received, answers) in zip(cases, self.receive(*cases), strict=True):
+            self.assertEqual(
+                [("POST", "/first", quoted), ("PUT", "/second", b"")],
+                [(method, path, body) for method, path, _, body in received],
+                case,
+            )
+            self.assertEqual(2, answers.count(b"HTTP/1.1 200 OK"), case)
+
+    def test_offer_of_an_upgrade_is_dropped_and_other_headers_are_kept(self):
+        raw = (
+            b"GET / HTTP/1.1\r\nHost: h\r\nUpgrade: h2c\r\n"
+            b"Connection: upgrade, close\r\nX-One: a\tb \xe9\r\nX-Empty:\r\n\r\n"
+        )
+        [([(_, _, headers, _)], _)] = self.receive([raw])
+        self.assertNotIn(b"upgrade", headers)
+        self.assertEqual(b"a\tb \xe9", headers[b"x-one"])
+        self.assertEqual(b"", headers[b"x-empty"])
+
+    def test_tunnels_are_refused(self):
+        raw = b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\nxx"
+        [(received, answers)] = self.receive([raw])
+        self.assertEqual([], received)
+        self.assertTrue(answers.startswith(b"HTTP/1.1 400 "), answers)
+
+
 class StopTests(TestCase):
     def test_requests_that_do_not_end_hold_a_stop_for_its_grace_time_only(self):
         async def behave(scope, receive, send):
