Drop fields after a chunked body

What callers and servers saw: a trailer was passed on as a header, beside or in place of one of the request's own, such as its id or model.

Cause: the parser reports trailers like headers, and the server library adds them to the request's list of headers, which is read after the body.

Change: the listener ignores fields that come after the head.

Test: a chunked request with two trailers, cut in two at each byte; failed before.

--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -61,6 +61,7 @@
         self._number = next(_numbers)
         self._requests = 0
         self._idle_since_s: Seconds = 0.0
+        self._is_head_complete = False
         self._unanswered: list[RequestResponseCycle] = []
 
     def connection_made(self, transport) -> None:
@@ -82,6 +83,7 @@
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
+        self._is_head_complete = False
         self._requests += 1
         self.scope["place"] = f"{self._number}.{self._requests}"  # type: ignore
         if self.cycle is not None and not self.cycle.response_complete:
@@ -128,8 +130,13 @@
         lines += [b"%s: %s" % pair for pair in self.headers if pair[0] != b"upgrade"]
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._is_head_complete:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         self._head_came()
+        self._is_head_complete = True  # further fields are trailers, which are dropped
         if self.parser.should_upgrade():
             return  # the request is parsed again
         super().on_headers_complete()
--- a/shallotpoint/tests/test_httpd.py
+++ b/shallotpoint/tests/test_httpd.py
@@ -159,7 +159,8 @@
             exchange = Exchange(scope, receive, send, "r1")
             with contextlib.suppress(CallerGone):
                 body = await exchange.read_body(max_bytes=1 << 20, timeout_s=1.0)
-                request = scope["method"], scope["path"], dict(scope["headers"]), body
+                headers = dict(scope["headers"])
+                request = scope["method"], scope["path"], headers, body
                 received[scope["client"][1]].append(request)
                 await exchange.send_answer(200, b"{}")
 
@@ -223,6 +224,21 @@
         self.assertEqual(b"a\tb \xe9", headers[b"x-one"])
         self.assertEqual(b"", headers[b"x-empty"])
 
+    def test_trailers_are_dropped(self):
+        # Guards against a trailer that replaces the id or the model of its request.
+        head = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX-Id: own\r\n"
+            b"Transfer-Encoding: chunked\r\nTrailer: X-Id\r\n\r\n2\r\nhi\r\n0\r\n"
+        )
+        raw = head + b"X-Id: other\r\nX-More: x\r\n\r\n"
+        cases = [(raw[:cut], raw[cut:]) for cut in range(len(raw))]
+        for case, (received, answers) in zip(cases, self.receive(*cases), strict=True):
+            [(_, _, headers, body)] = received
+            self.assertEqual(b"hi", body)
+            self.assertEqual(b"own", headers[b"x-id"], case)
+            self.assertNotIn(b"x-more", headers, case)
+            self.assertTrue(answers.startswith(b"HTTP/1.1 200 "), answers)
+
     def test_tunnels_are_refused(self):
         raw = b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\nxx"
         [(received, answers)] = self.receive([raw])
