Refuse what is no request after the answers before it

What callers saw: on a connection with several requests under way, bytes that are no request were answered 400 at once and the connection was closed. The caller took the 400 for the answer to its first request, which ran (MIXED).

Cause: the server library writes the refusal as it meets the bytes, whatever is still to be answered.

Change: the refusal waits until all requests before are answered. A request whose body cannot be read is the one that is refused, also where it waits in the line; if its answer has begun, the connection is closed.

Tests: two, of which the one for the order failed before.

--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -9,6 +9,7 @@
 import logging
 import socket
 import ssl
+from collections import deque
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Any, cast
@@ -62,6 +63,8 @@
         self._requests = 0
         self._idle_since_s: Seconds = 0.0
         self._is_head_complete = False
+        self._is_body_expected = False
+        self._refusal: str | None = None
         self._unanswered: list[RequestResponseCycle] = []
 
     def connection_made(self, transport) -> None:
@@ -79,6 +82,7 @@
 
     def on_message_complete(self) -> None:
         if not self.parser.should_upgrade():
+            self._is_body_expected = False
             super().on_message_complete()
 
     def on_message_begin(self) -> None:
@@ -104,6 +108,8 @@
         again without the offer, so that its body is read as such.
         """
         self._unset_keepalive_if_required()
+        if self._refusal is not None:
+            return
         while True:
             try:
                 self.parser.feed_data(data)
@@ -111,14 +117,28 @@
             except httptools.HttpParserUpgrade as exc:
                 head = self._encode_head_without_offer()
                 if head is None:
-                    self.send_400_response("Tunnels are not supported.")
+                    self._refuse("Tunnels are not supported.")
                     return
                 self.parser = _make_parser(self)
                 self._requests -= 1
                 data = head + data[exc.args[0] :]
             except httptools.HttpParserError:
-                self.send_400_response("Invalid HTTP request received.")
+                self._refuse("Invalid HTTP request received.")
+                return
+
+    def _refuse(self, reason: str) -> None:
+        """Refuse bytes that are no request, once the requests before are answered."""
+        if self._is_body_expected:
+            faulty = self.cycle
+            self.pipeline = deque(p for p in self.pipeline if p[0] is not faulty)
+            self._unanswered = [c for c in self._unanswered if c is not faulty]
+            if faulty.response_started:
+                self.transport.close()
                 return
+        if any(not cycle.response_complete for cycle in self._unanswered):
+            self._refusal = reason
+        else:
+            self.send_400_response(reason)
 
     def _encode_head_without_offer(self) -> bytes | None:
         """Return the head of the request without its ``Upgrade``; None for CONNECT."""
@@ -139,6 +159,7 @@
         self._is_head_complete = True  # further fields are trailers, which are dropped
         if self.parser.should_upgrade():
             return  # the request is parsed again
+        self._is_body_expected = True
         super().on_headers_complete()
         waiting = [c for c in self._unanswered if not c.response_complete]
         self._unanswered = [*waiting, self.cycle]
@@ -147,6 +168,9 @@
         self._idle_since_s = self.loop.time()
         self.timeout_keep_alive = self._limits.idle_s  # type: ignore[assignment]
         super().on_response_complete()
+        if self._refusal is not None and not self.transport.is_closing():
+            if all(cycle.response_complete for cycle in self._unanswered):
+                self.send_400_response(self._refusal)
 
     def timeout_keep_alive_handler(self) -> None:
         self.timeout_keep_alive_task = None
--- a/shallotpoint/tests/test_httpd.py
+++ b/shallotpoint/tests/test_httpd.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import re
 import time
 
 from testtools.matchers import GreaterThan, LessThan
@@ -239,6 +240,26 @@
             self.assertNotIn(b"x-more", headers, case)
             self.assertTrue(answers.startswith(b"HTTP/1.1 200 "), answers)
 
+    def test_mixed_refusal_waits_for_the_answers_before_it(self):
+        # Guards against a 400 that is taken for the answer to a request that runs.
+        sound = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+        for faulty in (
+            b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ):
+            raw = 2 * sound + faulty + sound
+            [(received, answers)] = self.receive([raw])
+            self.assertEqual([b"hi", b"hi"], [body for *_, body in received])
+            self.assertEqual(
+                [b"200", b"200", b"400"], re.findall(rb"HTTP/1.1 (\d+)", answers)
+            )
+
+    def test_body_that_cannot_be_read_gets_one_answer(self):
+        head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        [(received, answers)] = self.receive([head, b"2\r\nhi\r\n", b"zz\r\n"])
+        self.assertEqual([], received)
+        self.assertEqual([b"400"], re.findall(rb"HTTP/1.1 (\d+)", answers))
+
     def test_tunnels_are_refused(self):
         raw = b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\nxx"
         [(received, answers)] = self.receive([raw])
