--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -27,6 +27,7 @@
 KEEP_ALIVE_S = 75.0  # for callers without a configured limit
 HEAD_S = 10.0  # likewise; many times the travel of a request's head
 STOP_SLACK_S = 0.3  # beyond a stop's grace time, for three ticks of the server
+SUPPORTED_VERSIONS = ("1.0", "1.1")  # the parser takes a missing one for 0.9
 
 _numbers = itertools.count(1)
 _log = logging.getLogger(__name__)
@@ -157,6 +158,9 @@
     def on_headers_complete(self) -> None:
         self._head_came()
         self._is_head_complete = True  # further fields are trailers, which are dropped
+        version = self.parser.get_http_version()
+        if version not in SUPPORTED_VERSIONS:
+            raise httptools.HttpParserError(f"HTTP/{version} is not supported")
         if self.parser.should_upgrade():
             return  # the request is parsed again
         self._is_body_expected = True
--- a/shallotpoint/loop.py
+++ b/shallotpoint/loop.py
@@ -43,7 +43,7 @@
         """Do nothing, as the transport closes the descriptor."""
 
 
-class _Loop(uvloop.Loop):
+class EventLoop(uvloop.Loop):
     """uvloop's event loop, but each descriptor of a connection is closed once.
 
     If ``create_connection(sock=...)`` of uvloop fails or is cancelled, its transport
@@ -75,7 +75,7 @@
 
 def run_loop(main: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine on uvloop, with io_uring off."""
-    with asyncio.Runner(loop_factory=_Loop) as runner:
+    with asyncio.Runner(loop_factory=EventLoop) as runner:
         return runner.run(main)
 
 
--- a/shallotpoint/testing/scripted_upstream.py
+++ b/shallotpoint/testing/scripted_upstream.py
@@ -174,7 +174,7 @@
         self.request.target += url.decode()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.request.headers[name.decode().lower()] = value.decode()
+        self.request.headers[name.decode().lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         self.request.body += body
