Decide in one place whether a request may go to another upstream

Cause: streams that stall were withdrawn and queued again past the decision on retries, which checks the attempts and spends from the budget.

Change: may_run_elsewhere, beside retry_refusal and on the same checks, is asked for stalled and slow streams and for hedges before the attempt is taken away. A stream that may not move stays until its server goes on or its time ends.

Tests: all paths under a limit of attempts and under a budget; both failed before.

--- a/shallotpoint/policy/reassignment.py
+++ b/shallotpoint/policy/reassignment.py
@@ -7,11 +7,11 @@
 from shallotpoint.policy.dispatch import choose
 from shallotpoint.policy.health import Verdict
 from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.retry_decision import may_run_elsewhere
 from shallotpoint.policy.state import PoolState
 from shallotpoint.policy.ticket import AdmittedRequest
 from shallotpoint.types import Seconds
 
-MAX_REROUTES = 4  # per request, after failed, slow or silent attempts
 MAX_PREEMPTIONS = 20
 STALL_MIN_S = 2.0  # streams that pause for less are not moved
 STALL_RATIO = 40.0  # pause of a stalled stream, in median times between tokens
@@ -179,7 +179,7 @@
         upstream = _hedge_upstream(state, untried, now)
         if upstream is None:
             continue
-        if state.budget(request.ticket, request.attempts[0].upstream).try_spend(now):
+        if may_run_elsewhere(state, request, request.attempts[0].upstream, now):
             if not state.is_usable(upstream):
                 state.health.start_probe(upstream)
             yield request, upstream
@@ -213,7 +213,10 @@
 
 
 def stalled_streams(state: PoolState, now: Seconds) -> list[AdmittedRequest]:
-    """Return streams to move because their upstream sends no more tokens."""
+    """Return streams to move because their upstream sends no more tokens.
+
+    Each one returned has spent from the retry budget.
+    """
     if not state.tuning.move_silent:
         return []
     limit_s = max(STALL_MIN_S, STALL_RATIO * state.health.median_tbt_s())
@@ -228,7 +231,9 @@
             or now - attempt.last_token_at_s < limit_s
         ):
             continue
-        if request.reroutes < MAX_REROUTES and len(state.upstreams) > 1:
+        if len(state.upstreams) > 1 and may_run_elsewhere(
+            state, request, attempt.upstream, now
+        ):
             streams.append(request)
     return streams
 
@@ -236,12 +241,10 @@
 def _may_move_from_slow(
     state: PoolState, request: AdmittedRequest, upstream: str, now: Seconds
 ) -> bool:
-    if not request.ticket.resumable or request.reroutes >= MAX_REROUTES:
+    if not request.ticket.resumable:
         return False
     if len(request.attempts) != 1 or request.attempts[0].awaits_first_token:
         return False
     if request.attempts[0].sent_s >= state.health[upstream].verdict_since_s:
         return False
-    return state.free_slots > 0 and state.budget(request.ticket, upstream).try_spend(
-        now
-    )
+    return state.free_slots > 0 and may_run_elsewhere(state, request, upstream, now)
--- a/shallotpoint/policy/retry_decision.py
+++ b/shallotpoint/policy/retry_decision.py
@@ -1,13 +1,29 @@
-"""Decides whether a request is retried after a failed attempt."""
+"""Decides whether a request may be sent to another upstream."""
 
 from __future__ import annotations
 
-from shallotpoint.policy.reassignment import MAX_REROUTES
 from shallotpoint.policy.state import PoolState
 from shallotpoint.policy.ticket import AdmittedRequest
 from shallotpoint.results import NOT_RUN, Result
 from shallotpoint.types import Seconds
 
+MAX_REROUTES = 4  # per request, after failed, slow or silent attempts
+
+
+def may_run_elsewhere(
+    state: PoolState, request: AdmittedRequest, upstream: str, now: Seconds
+) -> bool:
+    """Return whether a request that runs at an upstream may be sent to another one.
+
+    If so, it has spent from the retry budget, as a retry after a failure does.
+    """
+    return (
+        request.reroutes < MAX_REROUTES
+        and not _is_out_of_attempts(request, request.received_attempts + 1)
+        and not state.is_blocked(request.ticket, now)
+        and _spend_retry(state, request, upstream, now)
+    )
+
 
 def retry_refusal(
     state: PoolState,
@@ -46,16 +62,27 @@
         return Result.STREAM_CUT
     if may_have_run and request.reroutes >= MAX_REROUTES:
         return failure
-    if (
-        ticket.max_attempts is not None
-        and request.received_attempts >= ticket.max_attempts
-    ):
+    if _is_out_of_attempts(request, request.received_attempts):
         return failure if may_have_run else Result.UPSTREAM_REFUSED
     request.reroutes += 1
     if reason is Result.RETRY_CONNECT and ticket.max_attempts is not None:
         return None if request.reroutes <= MAX_REROUTES else Result.UPSTREAM_REFUSED
-    if ticket.service_class.protected:
-        return None
-    if not state.budget(ticket, upstream).try_spend(now):
+    if not _spend_retry(state, request, upstream, now):
         return failure if may_have_run else Result.RETRY_BUDGET_EMPTY
     return None
+
+
+def _is_out_of_attempts(request: AdmittedRequest, received: int) -> bool:
+    """Return whether no more attempts are left once upstreams received this many."""
+    limit = request.ticket.max_attempts
+    return limit is not None and received >= limit
+
+
+def _spend_retry(
+    state: PoolState, request: AdmittedRequest, upstream: str, now: Seconds
+) -> bool:
+    """Spend from the retry budget; return False if it is used up."""
+    ticket = request.ticket
+    return ticket.service_class.protected or state.budget(ticket, upstream).try_spend(
+        now
+    )
--- a/shallotpoint/tests/test_scheduler.py
+++ b/shallotpoint/tests/test_scheduler.py
@@ -8,6 +8,7 @@
 
 from shallotpoint.policy.actions import Admitted, Expire, Refused, Send, Withdraw
 from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.retries import SharedRetryBudget, WindowRetryBudget
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.state import Slots
 from shallotpoint.policy.ticket import Ticket
@@ -178,6 +179,70 @@
         self.assertThat(attempts, LessThan(240))
 
 
+class RepeatTests(TestCase):
+    """All ways in which a request comes to another upstream obey the same limits."""
+
+    def make_scheduler(self, *, slack=1_000.0, upstreams=4):
+        budget = WindowRetryBudget(SharedRetryBudget(slack=slack, margin=1.0))
+        scheduler = Scheduler(budget=budget)
+        scheduler.set_classes(CLASSES)
+        names = [f"e{i}" for i in range(upstreams)]
+        scheduler.set_upstreams({n: Slots(100, 100) for n in names})
+        return scheduler
+
+    def fail(self, scheduler, name, upstream, now):
+        scheduler.progress(name, upstream, 1, now)
+        scheduler.failed(name, upstream, Result.RETRY_ERROR, now + 0.1)
+
+    def stall(self, scheduler, name, upstream, now):
+        scheduler.progress(name, upstream, 1, now)
+
+    def slow_down(self, scheduler, name, upstream, now):
+        scheduler.progress(name, upstream, 1, now)
+        scheduler.health.eject_for_peer(upstream, now + 0.1)
+
+    def withhold_first_token(self, scheduler, name, upstream, now):
+        pass
+
+    def play(self, scheduler, trouble, *names, steps=400):
+        """Let each attempt meet a trouble; return the upstreams of each request."""
+        upstreams = {name: [] for name in names}
+        for step in range(steps):
+            now = step / 10
+            for name, upstream in sent_upstreams(scheduler.poll(now)).items():
+                upstreams[name].append(upstream)
+                trouble(scheduler, name, upstream, now)
+        return upstreams
+
+    def troubles(self):
+        return self.fail, self.stall, self.slow_down, self.withhold_first_token
+
+    def test_budget_of_attempts_holds_on_each_path(self):
+        # Guards against review case 3: streams that stalled ran on more upstreams than
+        # allowed.
+        for trouble in self.troubles():
+            for limit in (1, 2, 3):
+                scheduler = self.make_scheduler()
+                ticket = make_ticket("r", COUNTER, max_attempts=limit)
+                scheduler.offer(ticket, 0.0)
+                ran = self.play(scheduler, trouble, "r")["r"]
+                self.assertLessEqual(len(ran), limit, trouble.__name__)
+                if trouble != self.withhold_first_token:  # it is hedged once
+                    self.assertEqual(limit, len(ran), trouble.__name__)
+
+    def test_budget_of_retries_holds_on_each_path(self):
+        # Guards against streams whose connections all fall silent at once.
+        names = [f"r{number}" for number in range(50)]
+        for trouble in self.troubles():
+            scheduler = self.make_scheduler(slack=5.0)
+            for name in names:
+                scheduler.offer(make_ticket(name, COUNTER, max_attempts=3), 0.0)
+            ran = self.play(scheduler, trouble, *names, steps=95)
+            repeats = sum(len(upstreams) - 1 for upstreams in ran.values())
+            self.assertLessEqual(repeats, 0.2 * len(names) + 5.0, trouble.__name__)
+            self.assertGreater(repeats, 0, trouble.__name__)
+
+
 class EjectedUpstreamTests(TestCase):
     """A stalled request must continue although the only other upstream is ejected."""
 
