--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -442,7 +442,7 @@
     async def _stop_servers(self) -> None:
         # A request may cross the end of a stop that is over before its time.
         grace_s = max(SERVERS_END_S, self.stop_left_s() or 0.0)
-        # The servers cut what runs still, but a little later.
+        # The servers cut what still runs a little later.
         ending = asyncio.get_running_loop().call_later(grace_s, self.pools.end_all)
         try:
             await asyncio.gather(*(s.stop(grace_s=grace_s) for s in self._servers))
