Keep the end of a planned stop on the blackboard

Read again: the router kept the end of its stop in a field of its own, the controller of the pools kept it in another and had a method to set it, beside StopSection, which says that the router stops. Now the section has the time; the pools take it over with their other inputs, and the router reads it there. The comment on the end of a stop is reworded.

--- a/shallotpoint/controllers/pools.py
+++ b/shallotpoint/controllers/pools.py
@@ -15,6 +15,7 @@
     DeparturesSection,
     HostsSection,
     LimitsSection,
+    StopSection,
     credit_key,
 )
 from shallotpoint.metrics import Metrics
@@ -31,7 +32,13 @@
 from shallotpoint.types import Clock, Seconds
 
 POLL_INTERVAL_S = 0.02
-_INPUT_SECTIONS = (ConfigSection, HostsSection, CreditsSection, DeparturesSection)
+_INPUT_SECTIONS = (
+    ConfigSection,
+    HostsSection,
+    CreditsSection,
+    DeparturesSection,
+    StopSection,
+)
 
 
 class RequestHandler(Protocol):
@@ -272,7 +279,6 @@
         self._on_permits_needed = on_permits_needed
         self._before_poll = before_poll
         self._runners: dict[str, PoolRunner] = {}
-        self._stops_at_s: Seconds | None = None
         for section in _INPUT_SECTIONS:
             board.on_change(section, lambda _: self.refresh())
 
@@ -289,11 +295,6 @@
         for runner in self.runners():
             runner.poll()
 
-    def begin_stop(self, stops_at_s: Seconds) -> None:
-        """Refuse queued requests from now on that would not end before a stop does."""
-        self._stops_at_s = stops_at_s
-        self.refresh()
-
     def end_all(self) -> None:
         """End all requests of all pools, as the router stops."""
         for runner in self.runners():
@@ -314,11 +315,12 @@
         return sum(len(r.scheduler.requests) for r in self._runners.values())
 
     def refresh(self) -> None:
-        """Apply the blackboard's configuration and hosts to all schedulers.
+        """Apply the blackboard's configuration, hosts and stop to all schedulers.
 
         The runner of a removed pool is kept until its requests have ended.
         """
         config = self._board.get(ConfigSection).config
+        stops_at_s = self._board.get(StopSection).stops_at_s
         for name, pool in config.pools.items():
             runner = self._runners.get(name)
             if runner is None:
@@ -334,13 +336,13 @@
                 )
                 self._runners[name] = runner
             runner.pool = pool
-            runner.scheduler.stops_at_s = self._stops_at_s
+            runner.scheduler.stops_at_s = stops_at_s
             runner.scheduler.set_classes(config.classes)
             runner.scheduler.set_upstreams(self._build_slots(pool))
             runner.poll()
         for name in self._runners.keys() - config.pools.keys():
             runner = self._runners[name]
-            runner.scheduler.stops_at_s = self._stops_at_s
+            runner.scheduler.stops_at_s = stops_at_s
             runner.scheduler.set_upstreams({})
             if not runner.scheduler.requests:
                 del self._runners[name]
--- a/shallotpoint/controllers/sections.py
+++ b/shallotpoint/controllers/sections.py
@@ -161,9 +161,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StopSection:
-    """Whether this router is stopping."""
+    """Whether this router is stopping.
+
+    Attributes
+    ----------
+    stops_at_s : float or None
+        When the stop ends; None if none has begun or it waits for all requests.
+    """
 
     stopping: bool = False
+    stops_at_s: Seconds | None = None
 
 
 def credit_key(pool: str, upstream: str) -> str:
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -172,7 +172,6 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._stopping = self.board.claim(StopSection, "router")
         self._budgets: list[WindowRetryBudget] = []
-        self._stops_s: Seconds | None = None
         self._tasks = Tasks()
         self._servers: list[HttpServer] = []
         self.gossip = Board(self.name, self._incarnation)
@@ -322,9 +321,7 @@
         """
         started_s = self._clock()
         until_s = started_s + self.bounds.grace_s - STOP_MARGIN_S
-        self._stops_s = until_s
-        self._stopping(StopSection(stopping=True))
-        self.pools.begin_stop(until_s)
+        self._stopping(StopSection(stopping=True, stops_at_s=until_s))
         _log.info("stopping", extra={"in_flight": self.pools.in_flight})
         leave_s = min(started_s + LEAVE_S, until_s)
         with contextlib.suppress(TimeoutError):
@@ -340,7 +337,8 @@
 
     def stop_left_s(self) -> Seconds | None:
         """Return the time until a planned stop ends, None while none has begun."""
-        return None if self._stops_s is None else self._stops_s - self._clock()
+        stops_at_s = self.board.get(StopSection).stops_at_s
+        return None if stops_at_s is None else stops_at_s - self._clock()
 
     def take_bounds(self, bounds: BoundSettings) -> None:
         """Put changed bounds in force."""
@@ -442,7 +440,7 @@
     async def _stop_servers(self) -> None:
         # A request may cross the end of a stop that is over before its time.
         grace_s = max(SERVERS_END_S, self.stop_left_s() or 0.0)
-        # The servers cut what still runs a little later.
+        # A little later, the servers cut what still runs.
         ending = asyncio.get_running_loop().call_later(grace_s, self.pools.end_all)
         try:
             await asyncio.gather(*(s.stop(grace_s=grace_s) for s in self._servers))
