--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -385,9 +385,10 @@
                 request = self.requests[ticket.id]
                 if request.tokens or admission.is_queued_until(ticket, opening_s):
                     continue
-                queue.remove(ticket.id)
-                self._remove_request(request)
-                actions.append(Expire(ticket, Result.UPSTREAMS_CLOSED, opening_s - now))
+                wait_s = opening_s - now
+                actions.append(
+                    self._expire_queued(ticket, Result.UPSTREAMS_CLOSED, wait_s)
+                )
         return actions
 
     def _expire_without_permit(self, now: Seconds) -> list[Action]:
@@ -397,12 +398,12 @@
         for ticket, permit_at_s in admission.queued_without_timely_permit(state, now):
             if self.requests[ticket.id].tokens:
                 continue
-            state.queues[ticket.service_class.name].remove(ticket.id)
-            self._remove_request(self.requests[ticket.id])
             wait_s = admission.retry_after_s(
                 state.closures.with_jitter_s(permit_at_s - now)
             )
-            actions.append(Expire(ticket, Result.UPSTREAMS_LIMITED, wait_s))
+            actions.append(
+                self._expire_queued(ticket, Result.UPSTREAMS_LIMITED, wait_s)
+            )
         return actions
 
     def _expire_before_stop(self, stops_at_s: Seconds, now: Seconds) -> list[Action]:
@@ -416,11 +417,17 @@
                     ends_at_s = min(ends_at_s, ticket.time_limit_at_s)
                 if ends_at_s <= stops_at_s or self.requests[ticket.id].tokens:
                     continue
-                queue.remove(ticket.id)
-                self._remove_request(self.requests[ticket.id])
-                actions.append(Expire(ticket, Result.STOPPING, STOP_RETRY_S))
+                actions.append(
+                    self._expire_queued(ticket, Result.STOPPING, STOP_RETRY_S)
+                )
         return actions
 
+    def _expire_queued(self, ticket: Ticket, result: Result, wait_s: Seconds) -> Expire:
+        """Remove a request from its queue and return the action that ends it."""
+        self._state.queues[ticket.service_class.name].remove(ticket.id)
+        self._remove_request(self.requests[ticket.id])
+        return Expire(ticket, result, wait_s)
+
     def _update_shares(self, now: Seconds) -> None:
         state = self._state
         waiting = {name: len(queue) for name, queue in state.queues.items()}
@@ -499,10 +506,8 @@
 
     def _expire_blocked(self, ticket: Ticket, now: Seconds) -> Expire:
         """Expire a queued request that is blocked because upstreams crashed."""
-        self._state.queues[ticket.service_class.name].remove(ticket.id)
-        self._remove_request(self.requests[ticket.id])
         wait_s = admission.blocked_retry_after_s(self._state, ticket, now)
-        return Expire(ticket, Result.POISON, wait_s)
+        return self._expire_queued(ticket, Result.POISON, wait_s)
 
     def _send(
         self,
