Check in one place whether a refusal's turn has come

Read again: the listener checked twice, as it met the bytes and after each answer, whether the requests before are answered. Behaviour as before.

Tried and dropped: going on with the same parser after an offer of an upgrade, without a new one. It keeps state of the offer: a request with "Connection: upgrade, close" no longer closed its connection (test_httpd.py failed). The comment says so.

--- a/shallotpoint/httpd.py
+++ b/shallotpoint/httpd.py
@@ -120,7 +120,7 @@
                 if head is None:
                     self._refuse("Tunnels are not supported.")
                     return
-                self.parser = _make_parser(self)
+                self.parser = _make_parser(self)  # the old one keeps the offer's state
                 self._requests -= 1
                 data = head + data[exc.args[0] :]
             except httptools.HttpParserError:
@@ -136,10 +136,14 @@
             if faulty.response_started:
                 self.transport.close()
                 return
-        if any(not cycle.response_complete for cycle in self._unanswered):
-            self._refusal = reason
-        else:
-            self.send_400_response(reason)
+        self._refusal = reason
+        self._send_refusal_in_turn()
+
+    def _send_refusal_in_turn(self) -> None:
+        """Send the refusal, if any, once all requests before it are answered."""
+        answered = all(cycle.response_complete for cycle in self._unanswered)
+        if self._refusal is not None and answered and not self.transport.is_closing():
+            self.send_400_response(self._refusal)
 
     def _encode_head_without_offer(self) -> bytes | None:
         """Return the head of the request without its ``Upgrade``; None for CONNECT."""
@@ -172,9 +176,7 @@
         self._idle_since_s = self.loop.time()
         self.timeout_keep_alive = self._limits.idle_s  # type: ignore[assignment]
         super().on_response_complete()
-        if self._refusal is not None and not self.transport.is_closing():
-            if all(cycle.response_complete for cycle in self._unanswered):
-                self.send_400_response(self._refusal)
+        self._send_refusal_in_turn()
 
     def timeout_keep_alive_handler(self) -> None:
         self.timeout_keep_alive_task = None
