--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -29,6 +29,7 @@
 from shallotpoint.testing.routing import HOST, KEY, PlainDialect, config_of, route
 from shallotpoint.testing.scripted_upstream import ScriptedConnection, ScriptedUpstream
 from shallotpoint.tests.test_directory import put_upstream, read_upstream
+from shallotpoint.tests.test_route_run import hang
 
 ROUTE = route(RouteKind.NON_IDEMPOTENT)
 SLOTS = 4  # of the upstream
@@ -157,9 +158,6 @@
 
 class PeerTests(RouterCase):
     def test_routers_hear_what_the_others_have_on_upstreams(self):
-        async def hang(line: ScriptedConnection) -> None:
-            await line.closed_by_peer()
-
         async def scenario(kv, session):
             async with router(kv, "one") as one, router(kv, "two") as two:
                 await eventually(lambda: one.ready() and two.ready())
@@ -222,9 +220,6 @@
         self.assertEqual((200, b"whole"), (status, body))
 
     def test_stop_is_bounded_also_with_work_that_does_not_end(self):
-        async def hang(line: ScriptedConnection) -> None:
-            await line.closed_by_peer()
-
         async def scenario(kv, session):
             async with router(kv) as made:
                 await eventually(made.ready)
@@ -252,9 +247,6 @@
 
     def test_lost_request_in_the_queue_is_refused_if_the_stop_would_cut_it(self):
         # Guards against a request that is passed on late in the grace time and cut.
-        async def hang(line: ScriptedConnection) -> None:
-            await line.closed_by_peer()
-
         async def scenario(kv, session):
             async with router(kv) as made:
                 await eventually(made.ready)
@@ -313,9 +305,6 @@
 
     def test_work_that_does_not_end_gets_an_answer_at_the_end_of_a_stop(self):
         # Guards against a cut connection, and against status 500 of the server library.
-        async def hang(line: ScriptedConnection) -> None:
-            await line.closed_by_peer()
-
         async def scenario(kv, session):
             async with router(kv) as made:
                 await eventually(made.ready)
