Not ready before the list of upstreams is applied

Cause: readiness asked for a configuration and for the routers' own entries, not for the list of upstreams; and an answer of the service counted as read before the list in it was applied.

Change: a follower tells whether its copy was applied once (has_applied). A router is ready once the lists of routers and of upstreams are.

Tests: a service that gives no listing of upstreams. The test failed before (ready while nothing was listed).

Looked at, not changed: the daemon of the product's own interface is ready without a list of hosts, as its pools may name their upstreams themselves.

--- a/shallotpoint/coordination/follow.py
+++ b/shallotpoint/coordination/follow.py
@@ -210,6 +210,11 @@
         Pause after a change, in seconds, so that a burst of changes takes few calls.
     grace_s : float
         Time after an outage for which missing keys are kept, in seconds.
+
+    Attributes
+    ----------
+    has_applied : bool
+        Whether ``on_change`` has taken over the copy at least once.
     """
 
     def __init__(
@@ -231,6 +236,7 @@
         self._rng = rng
         self._on_change = on_change
         self.poll_wait_s = poll_wait_s
+        self.has_applied = False
         self._settle_s = settle_s
         self._reachable: bool | None = None
         self._selector = _SourceSelector()
@@ -321,6 +327,7 @@
 
     def _notify(self) -> None:
         self._on_change(self.copy.entries)
+        self.has_applied = True
 
     def _signal_confirmation(self) -> None:
         event, self._confirmed = self._confirmed, asyncio.Event()
--- a/shallotpoint/daemons/route_router.py
+++ b/shallotpoint/daemons/route_router.py
@@ -359,6 +359,8 @@
         config = self.board.get(ConfigSection).config
         if not config.version or not self._is_informed():
             return False
+        if not self.directory.upstreams.has_applied:
+            return False
         return not config.routing.needs_keys or self.keys.is_current()
 
     async def stop(self) -> None:
@@ -407,8 +409,8 @@
             self._start_usage()
 
     def _is_informed(self) -> bool:
-        """Return whether what routers keep in the service was read once."""
-        return self.directory.routers.copy.confirmed_at_s is not None
+        """Return whether what routers keep in the service was applied once."""
+        return self.directory.routers.has_applied
 
     # Construction
 
--- a/shallotpoint/tests/test_route_router.py
+++ b/shallotpoint/tests/test_route_router.py
@@ -10,7 +10,7 @@
 from testtools.matchers import LessThan
 
 from shallotpoint.controllers.sections import ConfigSection, HostsSection
-from shallotpoint.coordination.kv import Delete, Put
+from shallotpoint.coordination.kv import Delete, Put, Unavailable
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.daemons.route_router import Edges, RouteRouter
 from shallotpoint.duties import CallOutcome, Duty
@@ -91,6 +91,17 @@
     )
 
 
+class UnlistedKeyValue(MemoryKeyValue):
+    """A service that gives no listing of upstreams until it is released."""
+
+    is_released = False
+
+    async def list_prefix(self, prefix):
+        if prefix == "u/" and not self.is_released:
+            raise Unavailable("no listing")
+        return await super().list_prefix(prefix)
+
+
 class RouterCase(TestCase):
     run_loop = staticmethod(run_loop)
 
@@ -134,6 +145,23 @@
 
         self.assertEqual((200, 200), self.play(scenario))
 
+    def test_recover_router_without_the_list_of_upstreams_is_not_ready(self):
+        # Guards against a router that says that it is ready and refuses every request,
+        # as it has never read which upstreams there are.
+        async def scenario(kv, session):
+            unlisted = UnlistedKeyValue(
+                clock=time.monotonic, rng=random.Random(2), store=kv.store
+            )
+            async with router(unlisted) as made:
+                await eventually(made._is_informed)
+                await eventually(lambda: made.board.get(ConfigSection).config.version)
+                before = await readiness(session, made)
+                unlisted.is_released = True
+                await eventually(made.ready)
+                return before, await readiness(session, made)
+
+        self.assertEqual((503, 200), self.play(scenario))
+
     def test_upstreams_are_paced_only_if_the_settings_ask_for_it(self):
         async def scenario(kv, session):
             found = []
