Bound the numbers of a configuration

What operators would see: a service whose backend gives kv-token-bytes or link-mbps as a whole number of 401 digits ends the task "config"; no change is taken while such a service stands in the configuration.

Cause: the time to copy a token is computed from both with floats, which raises OverflowError; the task expects InvalidConfig only. Read beside it: the order of classes converts a tier to a float where there are more priorities than upstreams distinguish, and decisions on servers multiply prices, boot times and slots.

A reader that fails in a way that it does not name is logged with its traceback, and the configuration in force stays.

--- a/shallotpoint/controllers/route_config.py
+++ b/shallotpoint/controllers/route_config.py
@@ -136,6 +136,12 @@
                 extra={"version": current_version, "reason": str(exc)},
             )
             return
+        except Exception:
+            _log.exception(
+                "configuration not readable, the last one stays",
+                extra={"version": current_version},
+            )
+            return
         is_given_again = (
             config.version == current_version
             and entry.revision > self._applied_revision
--- a/shallotpoint/decoding.py
+++ b/shallotpoint/decoding.py
@@ -47,3 +47,29 @@
     if not isinstance(raw, int | float) or isinstance(raw, bool):
         return None
     return raw if 0 <= raw <= MAX_EXACT_INT else None
+
+
+def usable_positive(raw: Any) -> float | None:
+    """Return a decoded number that may also divide; None for anything else.
+
+    That is from ``1 / MAX_EXACT_INT`` to ``MAX_EXACT_INT``, so that products and
+    quotients of two such numbers are finite and not 0.
+
+    Examples
+    --------
+    >>> usable_positive(0.5), usable_positive(0), usable_positive(1e300)
+    (0.5, None, None)
+    """
+    number = usable_number(raw)
+    return None if number is None or number < 1 / MAX_EXACT_INT else number
+
+
+def clamp_int(number: int, *, limit: int = MAX_EXACT_INT) -> int:
+    """Return an integer, or the nearest one from ``-limit`` to ``limit``.
+
+    Examples
+    --------
+    >>> clamp_int(7), clamp_int(-(10**400), limit=9)
+    (7, -9)
+    """
+    return max(-limit, min(number, limit))
--- a/shallotpoint/tests/test_route_config.py
+++ b/shallotpoint/tests/test_route_config.py
@@ -17,6 +17,8 @@
 def read(raw: bytes) -> Config:
     """Read a version and the name of a pool."""
     version, _, pool = raw.decode().partition(" ")
+    if version == "fault":
+        raise OverflowError("a number too large")
     if not version.isdigit():
         raise InvalidConfig(f"version {version!r} is not a number")
     return Config(int(version), pools={pool: Pool(pool, PoolKind.SERVICE)})
@@ -47,6 +49,13 @@
         self.assertEqual((7, ["a"]), self.apply(b"x", 7))
         self.assertEqual((8, ["c"]), self.apply(b"8 c", 8))
 
+    def test_config_change_after_one_whose_reader_fails_is_taken(self):
+        # Guards against a configuration that ends the task which follows it, again and
+        # again, so that no later change takes effect.
+        self.apply(b"7 a", 5)
+        self.assertEqual((7, ["a"]), self.apply(b"fault b", 6))
+        self.assertEqual((8, ["c"]), self.apply(b"8 c", 7))
+
     def test_version_that_was_lost_and_given_again_is_taken(self):
         # Guards against a router that stays with the lost content for ever.
         self.apply(b"7 lost", 5)
