--- a/shallotpoint/testing/routing.py
+++ b/shallotpoint/testing/routing.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from shallotpoint.blackboard import Blackboard
-from shallotpoint.callers.dialect import AnswerInfo, AttemptInfo, RequestInfo
+from shallotpoint.callers.dialect import AnswerInfo, AttemptInfo, Dialect, RequestInfo
 from shallotpoint.callers.ids import make_id_generator
 from shallotpoint.callers.route_run import UpstreamAccess
 from shallotpoint.callers.routes import KeyView, RoutesApp
@@ -181,6 +181,7 @@
     kind: PoolKind = PoolKind.SERVICE,
     budget: SharedRetryBudget | None = None,
     more_routes: Sequence[Route] = (),
+    dialect: Dialect | None = None,
 ) -> AsyncIterator[RunningRouter]:
     """Run a router with one pool of upstreams named ``u1``, ``u2`` and so on.
 
@@ -192,6 +193,8 @@
         Retry budget of the pool; by default one with a slack of 100 retries.
     more_routes : sequence of Route
         Further routes to the same pool.
+    dialect : Dialect, optional
+        Dialect of the headers; by default that of :class:`RunningRouter`.
     """
     async with contextlib.AsyncExitStack() as stack:
         board = Blackboard()
@@ -258,7 +261,7 @@
             services=Services(pools, Metrics(), Journal()),
             upstream_access=UpstreamAccess(
                 client,
-                PlainDialect(),
+                dialect or PlainDialect(),
                 departures.record_departure,
                 limits.record_limit,
                 on_begin=fleet.begun.append,
