End a request that cannot be placed by itself

What callers saw: an error while one waiting request is placed ends the whole poll of its pool's scheduler. The request stays in its queue, so that each further poll fails too, and all requests behind it get 503 as their time is over.

Cause: nothing separated the requests of a queue from each other.

Change: the decision on the first request of a class is a method of its own.

Test: a placement that fails for one request of three.

--- a/shallotpoint/policy/scheduler.py
+++ b/shallotpoint/policy/scheduler.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import heapq
+import logging
 import math
 from collections.abc import Mapping
 
@@ -53,6 +54,8 @@
 # at once.
 STOP_RETRY_S = 0.05
 
+_log = logging.getLogger("shallotpoint.router")
+
 
 class Scheduler(PoolView):
     """Queues, admission, dispatch, retries and preemption for one pool.
@@ -521,22 +524,44 @@
             if not free:
                 continue
             request = self.requests[ticket.id]
-            denied = admission.refusal_at_dispatch(state, self.placement, request, now)
-            if denied is not None:
-                return self._expire_queued(ticket, denied.result, denied.retry_after_s)
-            if not state.is_below_share(cls.name) and open_slots:
-                preemptible = reassignment.may_be_preempted(request)
-                if not ordering.may_take_slot(
-                    state, cls, now, free=open_slots, preemptible=preemptible
-                ):
-                    continue
-            upstream = self._choose(request, free, now)
-            if upstream is None:
+            try:
+                place = self._place(request, cls, free, open_slots, now)
+            except Exception:
+                # Only this request ends: all others of the pool wait behind it.
+                _log.exception("request not placed", extra={"request": ticket.id})
+                return self._expire_queued(ticket, Result.INTERNAL, 0.0)
+            if isinstance(place, Refused):
+                return self._expire_queued(ticket, place.result, place.retry_after_s)
+            if place is None:
                 continue
             state.queues[cls.name].pop()
-            return self._send(request, upstream, now)
+            return self._send(request, place, now)
         return None
 
+    def _place(
+        self,
+        request: AdmittedRequest,
+        cls: ServiceClass,
+        free: list[str],
+        open_slots: int,
+        now: Seconds,
+    ) -> str | Refused | None:
+        """Return the upstream for the first request of a class, or its refusal.
+
+        None if it has to wait.
+        """
+        state = self._state
+        denied = admission.refusal_at_dispatch(state, self.placement, request, now)
+        if denied is not None:
+            return denied
+        if not state.is_below_share(cls.name) and open_slots:
+            preemptible = reassignment.may_be_preempted(request)
+            if not ordering.may_take_slot(
+                state, cls, now, free=open_slots, preemptible=preemptible
+            ):
+                return None
+        return self._choose(request, free, now)
+
     def _choose(
         self, request: AdmittedRequest, free: list[str], now: Seconds
     ) -> str | None:
--- a/shallotpoint/tests/test_scheduler.py
+++ b/shallotpoint/tests/test_scheduler.py
@@ -8,6 +8,7 @@
 
 from shallotpoint.policy.actions import Admitted, Expire, Refused, Send, Withdraw
 from shallotpoint.policy.model import ServiceClass
+from shallotpoint.policy.placement import ExpectedWaitPlacement
 from shallotpoint.policy.retries import SharedRetryBudget, WindowRetryBudget
 from shallotpoint.policy.scheduler import Scheduler
 from shallotpoint.policy.state import Slots
@@ -43,6 +44,31 @@
     return {a.ticket.id: a.upstream for a in actions if isinstance(a, Send)}
 
 
+class FailingPlacement(ExpectedWaitPlacement):
+    """A placement with a fault that only the request ``odd`` brings out."""
+
+    def choose(self, state, request, free, now):
+        if request.ticket.id == "odd":
+            raise OverflowError("a number too large")
+        return super().choose(state, request, free, now)
+
+
+class IsolationTests(TestCase):
+    def test_lost_requests_behind_one_that_cannot_be_placed(self):
+        # Guards against one request that fails each poll, so that all requests behind
+        # it wait until their time is over.
+        scheduler = Scheduler(placement=FailingPlacement())
+        scheduler.set_classes(CLASSES)
+        scheduler.set_upstreams({"e0": Slots(2, 2)})
+        for name in ("odd", "a", "b"):
+            scheduler.offer(make_ticket(name, COUNTER), 0.0)
+        actions = scheduler.poll(0.0)
+        self.assertEqual({"a": "e0", "b": "e0"}, sent_upstreams(actions))
+        [ended] = [a for a in actions if isinstance(a, Expire)]
+        self.assertEqual(("odd", Result.INTERNAL), (ended.ticket.id, ended.result))
+        self.assertEqual([], scheduler.poll(0.1))
+
+
 class PreemptionTests(TestCase):
     def scheduler_full_of(self, cls, count=4):
         scheduler = make_scheduler()
