Take event ids as numbers only up to 63 bits

What callers would see: a stream whose events have ids of more than 4,300 digits ends with an error of the router's own where it is resumed on another upstream.

Cause: int() refuses such text with ValueError.

Change: an id above 2**63 - 1 is no number, so that it cannot be compared, as other ids that are no numbers.

Test: four odd ids at either side. It failed before.

--- a/shallotpoint/decoding.py
+++ b/shallotpoint/decoding.py
@@ -16,7 +16,7 @@
 DECODE_ERRORS = (msgspec.DecodeError, RecursionError)
 MAX_EXACT_INT = 1 << 53  # floats hold every integer up to here exactly
 
-_WHOLE_NUMBER = re.compile(r"0*([0-9]{1,16})")
+_WHOLE_NUMBER = re.compile(r"0*([0-9]{1,19})")
 
 
 def parse_whole_number(text: str, *, limit: int = MAX_EXACT_INT) -> int | None:
--- a/shallotpoint/upstreams/event_ids.py
+++ b/shallotpoint/upstreams/event_ids.py
@@ -4,8 +4,11 @@
 
 import re
 
+from shallotpoint.decoding import parse_whole_number
+
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 _EVENT_END = b"\n\n"
+_MAX_ID = (1 << 63) - 1  # larger ids count as no numbers
 
 
 def last_event_id(events: bytes) -> bytes | None:
@@ -45,10 +48,8 @@
     >>> continues_after(b"id: 6\\n\\n", b"4")
     False
     """
-    first = first_event_id(events)
-    if first is None or not (first.isdigit() and last_id.isdigit()):
-        return True
-    return int(first) == int(last_id) + 1
+    first, last = _number(first_event_id(events) or b""), _number(last_id)
+    return first is None or last is None or first == last + 1
 
 
 def drop_sent_events(events: bytes, last_id: bytes) -> bytes:
@@ -62,15 +63,20 @@
     >>> drop_sent_events(b"id: 4\\ndata: b\\n\\nid: 5\\ndata: c\\n\\n", b"4")
     b'id: 5\\ndata: c\\n\\n'
     """
-    if not last_id.isdigit():
+    last = _number(last_id)
+    if last is None:
         return events
     remaining = []
     for event in events.split(_EVENT_END):
         if not event:
             continue
         match = _ID_LINE.search(event)
-        event_id = match[1].strip() if match else b""
-        if event_id.isdigit() and int(event_id) <= int(last_id):
+        event_id = _number(match[1].strip()) if match else None
+        if event_id is not None and event_id <= last:
             continue
         remaining.append(event + _EVENT_END)
     return b"".join(remaining)
+
+
+def _number(event_id: bytes) -> int | None:
+    return parse_whole_number(event_id.decode("latin-1"), limit=_MAX_ID)
