Bound the numbers of a request to explain

What operators would see: POST /explain/route with a token count of 401 digits got an error of the router's own, without the name of the field.

Cause: the counts go into the prediction of the first token, as those of callers did.

Test: four numbers of 401 digits, which failed before (status 500).

--- a/shallotpoint/callers/explain.py
+++ b/shallotpoint/callers/explain.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -16,14 +17,17 @@
 from shallotpoint.callers.routes import KeyView, authenticate, find_route, make_ticket
 from shallotpoint.controllers.pools import PoolsController
 from shallotpoint.controllers.sections import ConfigSection
+from shallotpoint.decoding import DECODE_ERRORS, MAX_EXACT_INT
 from shallotpoint.errors import RequestError
 from shallotpoint.policy.configuration import Config
 from shallotpoint.policy.model import Organisation
-from shallotpoint.policy.prompts import Prompt, PromptPart
+from shallotpoint.policy.prompts import MAX_TOKENS, Prompt, PromptPart
 from shallotpoint.policy.routes import Route
 from shallotpoint.results import RESULTS, Result, status_name
 from shallotpoint.types import Clock, JSONObject, Seconds
 
+_Tokens = Annotated[int, msgspec.Meta(le=MAX_TOKENS)]
+
 
 class RequestDescription(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A request to explain.
@@ -50,10 +54,10 @@
     key: str | None = None
     organisation: str | None = None
     id: str = "explain"
-    prompt_parts: list[tuple[str, int]] = []
-    prompt_tokens: int | None = None
-    output_tokens: int = 0
-    size_bytes: int = 0
+    prompt_parts: list[tuple[str, _Tokens]] = []
+    prompt_tokens: _Tokens | None = None
+    output_tokens: _Tokens = 0
+    size_bytes: Annotated[int, msgspec.Meta(le=MAX_EXACT_INT)] = 0
     time_left_s: float | None = None
 
 
@@ -86,7 +90,7 @@
         """
         try:
             description = _decoder.decode(raw)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             raise RequestError(
                 Result.BAD_REQUEST, f"{exc}; correct the field that is named"
             ) from None
--- a/shallotpoint/policy/prompts.py
+++ b/shallotpoint/policy/prompts.py
@@ -8,6 +8,7 @@
 
 MAX_ID_CHARS = 32
 MAX_LOGGED_IDS = 8
+MAX_TOKENS = 1_000_000_000  # no prompt or answer is this long
 
 
 @dataclass(frozen=True, slots=True)
--- a/shallotpoint/tests/test_explain_route.py
+++ b/shallotpoint/tests/test_explain_route.py
@@ -93,6 +93,10 @@
             "size_bytes": json.dumps(good | {"size_bytes": -1}),
             "prompt_parts": json.dumps(good | {"prompt_parts": [["a", -1]]}),
             "prompt_tokens": json.dumps(good | {"prompt_tokens": "many"}),
+            "$.prompt_tokens": json.dumps(good | {"prompt_tokens": 10**400}),
+            "$.prompt_parts": json.dumps(good | {"prompt_parts": [["a", 10**400]]}),
+            "$.output_tokens": json.dumps(good | {"output_tokens": 10**400}),
+            "$.size_bytes": json.dumps(good | {"size_bytes": 10**400}),
             "modell": json.dumps(good | {"modell": "x"}),
         }
         answers = self.explain(*faults.values())
