Apply each entry that routers share by itself

Cause: isdigit accepts what int() refuses, and only errors of decoding were taken for an entry to skip.

Change: the three readers apply each entry within skipping_unreadable; the start in a key is read in one place.

Tests: odd keys of leases before a sound one; a block that cannot be adopted before a sound one.

--- a/shallotpoint/controllers/crash_archive.py
+++ b/shallotpoint/controllers/crash_archive.py
@@ -17,9 +17,14 @@
 
 import msgspec
 
+from shallotpoint.coordination.entries import skipping_unreadable
 from shallotpoint.coordination.kv import Entry, KeyValue, KeyValueError, Put
-from shallotpoint.decoding import DECODE_ERRORS
-from shallotpoint.policy.crash_reports import EXPIRY_S, CrashReport, Incarnation
+from shallotpoint.policy.crash_reports import (
+    EXPIRY_S,
+    CrashReport,
+    Incarnation,
+    read_incarnation,
+)
 from shallotpoint.policy.poison import PoisonTracker
 from shallotpoint.tasks import wait_set
 from shallotpoint.types import Clock, Seconds
@@ -193,17 +198,15 @@
     def _read_entry(self, key: str, raw: bytes) -> frozenset[int]:
         """Report each crash in an entry; return the fingerprints that it lists.
 
-        An entry that cannot be decoded is logged and counts as empty.
+        An entry that cannot be read is logged and counts as empty.
         """
-        incarnation_key, _, router = key.removeprefix(self._prefix).rpartition("/")
-        upstream, _, started = incarnation_key.rpartition("/")
-        try:
+        with skipping_unreadable(key):
+            name, _, router = key.removeprefix(self._prefix).rpartition("/")
+            upstream, started_ms = read_incarnation(name)
             fingerprints = _decoder.decode(raw)
-            started_ms = int(started)
-        except (*DECODE_ERRORS, ValueError) as exc:
-            _log.warning("unreadable entry", extra={"entry": key, "reason": str(exc)})
-            return frozenset()
-        now = self._clock()
-        for fingerprint in fingerprints:
-            self._on_report(CrashReport(fingerprint, upstream, now, started_ms), router)
-        return frozenset(fingerprints)
+            now = self._clock()
+            for fingerprint in fingerprints:
+                report = CrashReport(fingerprint, upstream, now, started_ms)
+                self._on_report(report, router)
+            return frozenset(fingerprints)
+        return frozenset()
--- a/shallotpoint/controllers/limits.py
+++ b/shallotpoint/controllers/limits.py
@@ -32,13 +32,14 @@
     HostsSection,
     LimitsSection,
 )
+from shallotpoint.coordination.entries import skipping_unreadable
 from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.kv import Entry, KeyValue
 from shallotpoint.coordination.overlay import rank
 from shallotpoint.coordination.permits import PERMIT_LIFETIME_S
 from shallotpoint.coordination.transport import TransportError
 from shallotpoint.decoding import DECODE_ERRORS
-from shallotpoint.policy.crash_reports import Incarnation
+from shallotpoint.policy.crash_reports import Incarnation, read_incarnation
 from shallotpoint.policy.limits import (
     Permit,
     PermitOutlook,
@@ -251,18 +252,15 @@
         for key, entry in entries.items():
             if not key.startswith(self._prefix):
                 continue
-            upstream, _, started = key.removeprefix(self._prefix).rpartition("/")
-            if not started.isdigit():
-                _log.warning("unreadable entry", extra={"entry": key, "reason": "key"})
-                continue
-            incarnation = Incarnation(upstream, int(started))
-            self._lease_holders[incarnation] = entry.value.decode(errors="replace")
-            if incarnation not in previous and self._is_new(incarnation):
-                self._add_limit(
-                    AdvertisedLimit(0.0, incarnation.started_ms, -math.inf),
-                    upstream,
-                    key,
-                )
+            with skipping_unreadable(key):
+                incarnation = read_incarnation(key.removeprefix(self._prefix))
+                self._lease_holders[incarnation] = entry.value.decode(errors="replace")
+                if incarnation not in previous and self._is_new(incarnation):
+                    self._add_limit(
+                        AdvertisedLimit(0.0, incarnation.started_ms, -math.inf),
+                        incarnation.upstream,
+                        key,
+                    )
 
     def _is_new(self, incarnation: Incarnation) -> bool:
         """Return whether a limit of this incarnation is valid and not known yet."""
--- a/shallotpoint/controllers/part_blocks.py
+++ b/shallotpoint/controllers/part_blocks.py
@@ -15,9 +15,9 @@
 import msgspec
 
 from shallotpoint.coordination import overlay
+from shallotpoint.coordination.entries import skipping_unreadable
 from shallotpoint.coordination.gossip import Board
 from shallotpoint.coordination.kv import Delete, Entry, KeyValue, KeyValueError, Put
-from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.hashing import content_name, hash64
 from shallotpoint.policy.crash_reports import EXPIRY_S
 from shallotpoint.policy.part_blame import BlockEvent, PartBlock, Parts, PartTracker
@@ -133,14 +133,9 @@
             self._stored[key] = entry.value
             if previous.get(key) == entry.value:
                 continue
-            try:
+            with skipping_unreadable(key):
                 parts = frozenset(_entry_decoder.decode(entry.value))
-            except DECODE_ERRORS as exc:
-                _log.warning(
-                    "unreadable entry", extra={"entry": key, "reason": str(exc)}
-                )
-                continue
-            self._tracker.adopt(parts, now, now)
+                self._tracker.adopt(parts, now, now)
         self._log_changes(now)
 
     def publish(self, now: Seconds) -> None:
--- a/shallotpoint/policy/crash_reports.py
+++ b/shallotpoint/policy/crash_reports.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from shallotpoint.coordination.entries import UnreadableEntry
+from shallotpoint.decoding import parse_whole_number
 from shallotpoint.types import Seconds
 
 EXPIRY_S = 600.0  # many times the usual interval between a caller's repeats
@@ -53,3 +55,18 @@
     def incarnation(self) -> Incarnation:
         """The incarnation of the upstream that crashed."""
         return Incarnation(self.upstream, self.started_ms)
+
+
+def read_incarnation(name: str) -> Incarnation:
+    """Return the incarnation that the end of a key names, as ``NAME/START``.
+
+    Raises
+    ------
+    UnreadableEntry
+        The start is not a number of milliseconds.
+    """
+    upstream, _, started = name.rpartition("/")
+    started_ms = parse_whole_number(started)
+    if started_ms is None:
+        raise UnreadableEntry(f"expected a start time in ms, got {started[:40]!r}")
+    return Incarnation(upstream, started_ms)
--- a/shallotpoint/tests/test_exposures.py
+++ b/shallotpoint/tests/test_exposures.py
@@ -437,6 +437,8 @@
                 for key, raw in (
                     ("crashes/u1/5/one", b"\xff"),
                     ("crashes/u1/x/one", b"[77]"),
+                    ("crashes/u1/\u00b2/one", b"[77]"),
+                    (f"crashes/u1/{'9' * 5_000}/one", b"[77]"),
                     ("routers/one", b"{}"),
                     ("crashes/u2/5/one", b"[77]"),
                 )
--- a/shallotpoint/tests/test_limit_controller.py
+++ b/shallotpoint/tests/test_limit_controller.py
@@ -12,6 +12,7 @@
 from shallotpoint.controllers.permit_issuer import LEASE_TTL_S, RENEW_INTERVAL_S
 from shallotpoint.controllers.sections import HostsSection, LimitsSection
 from shallotpoint.coordination.gossip import Board
+from shallotpoint.coordination.kv import Entry
 from shallotpoint.coordination.memory_kv import MemoryKeyValue
 from shallotpoint.coordination.permits import PERMIT_LIFETIME_S
 from shallotpoint.coordination.transport import TransportError
@@ -210,6 +211,19 @@
 
         self.assertFalse(self.run_scenario(scenario))
 
+    def test_odd_key_of_a_lease_does_not_keep_the_others_from_being_read(self):
+        # Guards against a key that ends the task which follows the shared entries.
+        async def scenario(fleet):
+            (router,) = fleet
+            odd = ("u1/\u00b2", f"u1/{'9' * 5_000}", "u1/", "u1")
+            names = [PREFIX + name for name in (*odd, f"u2/{STARTED_MS}")]
+            router.limits.update_lease_entries(
+                {name: Entry(name, b"one/1", 1) for name in names}
+            )
+            return list(router.board.get(LimitsSection).limits)
+
+        self.assertEqual(["u2"], self.run_scenario(scenario, count=1))
+
     def test_peer_learns_the_limit_from_a_gossip_row(self):
         async def scenario(fleet):
             one, two, _ = fleet
--- a/shallotpoint/tests/test_part_blocks.py
+++ b/shallotpoint/tests/test_part_blocks.py
@@ -109,6 +109,22 @@
         two.update_entries(self.stored())
         self.assertTrue(tracker.is_blocked(BAD, self.clock.now))
 
+    def test_entry_that_cannot_be_applied_does_not_keep_the_others_from_it(self):
+        # Guards against an entry that ends the task which follows the shared entries.
+        self.store_block()
+        two, tracker = self.controller("two")
+        adopt = tracker.adopt
+
+        def fail_on_odd(parts, since_s, now):
+            if "odd" in parts:
+                raise OverflowError("a number too large")
+            adopt(parts, since_s, now)
+
+        tracker.adopt = fail_on_odd
+        odd = {"blocked/0": Entry("blocked/0", b'["odd"]', 1)}
+        two.update_entries(odd | self.stored())
+        self.assertTrue(tracker.is_blocked(BAD, self.clock.now))
+
     def test_cleared_block_is_removed(self):
         one, tracker = self.store_block()
         one.update_entries(self.stored())
