Apply each row of a peer by itself whatever its error

What would be seen: a row of gossip that decodes but cannot be applied ends the exchange with that peer, and the rows after it are lost.

Cause: only errors of decoding were taken for a row to drop.

Change: any other error is logged with its traceback and counted as malformed.

Test: a row of another type between two sound ones. It failed before.

--- a/shallotpoint/coordination/peers.py
+++ b/shallotpoint/coordination/peers.py
@@ -438,9 +438,9 @@
             self.request_round()
 
     def _call_decoder(self, peer: str, read: Callable[..., T], *args: Any) -> T | None:
-        """Call a function that decodes a peer's bytes.
+        """Call a function that decodes and applies a peer's bytes.
 
-        Return its result, or log the error and return None if they are malformed.
+        Return its result, or log the error and return None if it fails.
         """
         try:
             return read(*args)
@@ -450,7 +450,10 @@
                 "unreadable bytes of a peer dropped",
                 extra={"peer": peer, "reason": str(exc)},
             )
-            return None
+        except Exception:
+            self.stats.malformed += 1
+            _log.exception("bytes of a peer not applied", extra={"peer": peer})
+        return None
 
     def _must_contact(self, name: str) -> bool:
         """Return whether this member has to contact a neighbour in a usual round.
--- a/shallotpoint/tests/test_gossip.py
+++ b/shallotpoint/tests/test_gossip.py
@@ -131,6 +131,25 @@
 
         self.assertEqual(([1, 3], 1), self.run_async(main()))
 
+    def test_row_that_cannot_be_applied_does_not_affect_other_rows(self):
+        # Guards against a peer's row that ends the answer to its message.
+        async def main():
+            _, members = make_members(2)
+            one, two = members["m0"][0], members["m1"][0]
+            seen = []
+
+            def apply(rows):
+                seen.extend(1.0 * msgspec.msgpack.decode(r.payload) for r in rows)
+
+            two._on_rows = apply
+            for topic, payload in (("a", b"\x01"), ("b", b"\x80"), ("c", b"\x03")):
+                one.board.publish(topic, payload, now=0.0)
+            await one.exchange("m1", "m1")
+            await one.exchange("m1", "m1")
+            return sorted(seen), two.stats.malformed
+
+        self.assertEqual(([1.0, 3.0], 1), self.run_async(main()))
+
     def test_a_restarted_member_replaces_its_rows(self):
         board = Board("me", 1)
         old, new = Board("other", 1), Board("other", 2)
