Move the strict connections to a module of their own

The client of the product's own interface needs them too, and bound.py imports that client's module.

--- a/shallotpoint/tests/test_bound.py
+++ b/shallotpoint/tests/test_bound.py
@@ -13,8 +13,9 @@
 from multidict import CIMultiDict
 
 from shallotpoint.testing.cases import TestCase
-from shallotpoint.upstreams.bound import PerUpstreamClient, make_strict_connector
+from shallotpoint.upstreams.bound import PerUpstreamClient
 from shallotpoint.upstreams.client import UpstreamRequest
+from shallotpoint.upstreams.connections import make_strict_connector
 
 UNFRAMED_RESPONSE = b"HTTP/1.1 200 OK\r\n\r\nhalf"
 
