Fail answers of the own interface's upstreams that are reset

The caller of the product's own interface got that part as the complete answer.

Cause: aiohttp takes a body without a length for complete when its connection closes, also by a reset. The routes' client checks for that, the client of the own interface did not.

Change: that client uses the strict connections too, so that it also refuses bytes after an answer, repeats no request by itself, bounds heads, and closes connections to silent hosts. Its idle time and TLS stay.

Tests: answers without a length, with Connection: close and of HTTP/1.0, reset at once, a little later or closed with bytes unread; and with an orderly end. The test of the own interface failed before; that of routes held.

--- a/shallotpoint/testing/scripted_upstream.py
+++ b/shallotpoint/testing/scripted_upstream.py
@@ -89,9 +89,7 @@
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
-        sock = self.writer.get_extra_info("socket")
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        _reset_at_close(self.writer.get_extra_info("socket"))
         self.writer.transport.abort()
 
     def close(self) -> None:
@@ -107,6 +105,16 @@
 Script = Callable[[ScriptedConnection], Awaitable[None]]
 
 
+def reset_connection(sock: socket.socket) -> None:
+    """Close a connected socket with a TCP reset."""
+    _reset_at_close(sock)
+    sock.close()
+
+
+def _reset_at_close(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def event(number: int) -> bytes:
     """Return a server-sent event with this id."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/shallotpoint/upstreams/client.py
+++ b/shallotpoint/upstreams/client.py
@@ -10,7 +10,6 @@
 import ssl
 from collections.abc import AsyncIterator, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 import aiohttp
 import msgspec
@@ -19,6 +18,7 @@
 from shallotpoint.results import NOT_RUN, Result
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.body_memory import BodyReservation
+from shallotpoint.upstreams.connections import make_strict_session
 
 # An upstream that responds with one of these did not run the request.
 REFUSAL_STATUSES = frozenset({429, 503})
@@ -97,8 +97,8 @@
     def __init__(self, *, timeouts: Timeouts, tls: ssl.SSLContext | None = None):
         self._timeouts = timeouts
         self._scheme = "https" if tls else "http"
-        self._pooled_session = self._make_session(tls, force_close=False)
-        self._single_use_session = self._make_session(tls, force_close=True)
+        self._pooled_session = self._make_session(tls, pooled=True)
+        self._single_use_session = self._make_session(tls, pooled=False)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -179,25 +179,17 @@
             raise UpstreamFailure(Result.RETRY_BROKE, f"{address}: {exc!r}") from exc
 
     def _make_session(
-        self, tls: ssl.SSLContext | None, *, force_close: bool
+        self, tls: ssl.SSLContext | None, *, pooled: bool
     ) -> aiohttp.ClientSession:
-        idle_options: dict[str, Any] = {}
-        if not force_close:
-            idle_options["keepalive_timeout"] = IDLE_TIMEOUT_S
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            force_close=force_close,
-            ssl=tls or True,
-            use_dns_cache=False,
-            **idle_options,
-        )
         timeout = aiohttp.ClientTimeout(
             total=self._timeouts.answer_s,
             sock_connect=self._timeouts.connect_s,
             sock_read=self._timeouts.silence_s,
         )
-        return aiohttp.ClientSession(
-            connector=connector,
+        return make_strict_session(
+            pooled=pooled,
+            idle_s=IDLE_TIMEOUT_S,
+            tls=tls,
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/shallotpoint/upstreams/connections.py
+++ b/shallotpoint/upstreams/connections.py
@@ -12,11 +12,14 @@
 import logging
 import os
 import socket
+import ssl
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from shallotpoint.types import Seconds
+
 # Shorter than the usual idle timeout of servers, which close without notice.
 IDLE_TIMEOUT_S = 2.0
 # A connection with data unacknowledged for this long is closed.
@@ -131,7 +134,11 @@
 
 
 def make_strict_session(
-    *, pooled: bool = True, **options: Any
+    *,
+    pooled: bool = True,
+    idle_s: Seconds = IDLE_TIMEOUT_S,
+    tls: ssl.SSLContext | None = None,
+    **options: Any,
 ) -> aiohttp.ClientSession:
     """Return a session on a strict connector that repeats no request by itself.
 
@@ -140,32 +147,39 @@
 
     Parameters
     ----------
-    pooled : bool
-        Whether a connection is reused for further requests.
+    pooled, idle_s, tls
+        As in :func:`make_strict_connector`.
     **options
         Further options of the session.
     """
-    session = aiohttp.ClientSession(
-        connector=make_strict_connector(pooled=pooled), **options
-    )
+    connector = make_strict_connector(pooled=pooled, idle_s=idle_s, tls=tls)
+    session = aiohttp.ClientSession(connector=connector, **options)
     session._retry_connection = False
     return session
 
 
-def make_strict_connector(*, pooled: bool = True) -> aiohttp.TCPConnector:
+def make_strict_connector(
+    *,
+    pooled: bool = True,
+    idle_s: Seconds = IDLE_TIMEOUT_S,
+    tls: ssl.SSLContext | None = None,
+) -> aiohttp.TCPConnector:
     """Return a connector that detects unresponsive servers and malformed responses.
 
     Parameters
     ----------
     pooled : bool
         Whether a connection is reused for further requests.
+    idle_s : float
+        Time after which an idle connection is closed, in seconds.
+    tls : ssl.SSLContext, optional
+        Client-side TLS context.
     """
-    idle_options: dict[str, Any] = (
-        {"keepalive_timeout": IDLE_TIMEOUT_S} if pooled else {}
-    )
+    idle_options: dict[str, Any] = {"keepalive_timeout": idle_s} if pooled else {}
     connector = aiohttp.TCPConnector(
         limit=0,
         force_close=not pooled,
+        ssl=tls or True,
         use_dns_cache=False,
         socket_factory=_make_socket,
         **idle_options,
