Fail answers whose status does not exist on all clients

What callers saw (MIXED): a plain service in trouble answers with status 000; the caller of the product's own interface got that as the answer.

Cause: only the routes checked that a status is one from 200 to 599.

Change: the check moves to the client's module, and the client of the own interface makes it too, for requests, load reports and orders.

--- a/shallotpoint/callers/route_run.py
+++ b/shallotpoint/callers/route_run.py
@@ -30,6 +30,7 @@
 from shallotpoint.upstreams.client import (
     UpstreamFailure,
     UpstreamRequest,
+    check_status,
     read_response_body,
 )
 from shallotpoint.upstreams.event_ids import (
@@ -296,10 +297,7 @@
         if not facts.request_id:
             resp.close()
             raise UpstreamFailure(Result.RETRY_BROKE, "the answer has no request id")
-        if not 200 <= resp.status < 600:
-            raise UpstreamFailure(
-                Result.RETRY_BROKE, f"there is no status {resp.status}"
-            )
+        check_status(resp)
         if self._call.route.kind is not RouteKind.STREAM:
             self._record_begin()
         if resp.status in _NOT_RUN_STATUSES or "content-encoding" in resp.headers:
--- a/shallotpoint/upstreams/client.py
+++ b/shallotpoint/upstreams/client.py
@@ -22,6 +22,7 @@
 
 # An upstream that responds with one of these did not run the request.
 REFUSAL_STATUSES = frozenset({429, 503})
+FINAL_STATUSES = range(200, 600)  # of whole answers; no others exist
 MAX_BODY_BYTES = 16 << 20
 MAX_REPORT_BYTES = 1 << 20  # many times the largest load report
 IDLE_TIMEOUT_S = 30.0
@@ -130,6 +131,7 @@
                 headers=request.headers,
                 allow_redirects=False,
             ) as resp:
+                check_status(resp)
                 if resp.status in REFUSAL_STATUSES:
                     raise UpstreamFailure(
                         Result.RETRY_REFUSED,
@@ -149,6 +151,7 @@
         url = f"{self._scheme}://{address}{path}"
         try:
             async with self._pooled_session.get(url, timeout=timeout) as resp:
+                check_status(resp)
                 resp.raise_for_status()
                 raw = await read_bounded(resp, max_bytes=MAX_REPORT_BYTES)
                 return msgspec.json.decode(raw, type=dict)
@@ -171,6 +174,7 @@
             async with self._single_use_session.post(
                 url, json=body, timeout=timeout
             ) as resp:
+                check_status(resp)
                 raw = await read_bounded(resp, max_bytes=MAX_REPORT_BYTES)
                 return resp.status, msgspec.json.decode(raw, type=dict)
         except aiohttp.ClientConnectorError as exc:
@@ -197,6 +201,15 @@
         )
 
 
+def check_status(resp: aiohttp.ClientResponse) -> None:
+    """Raise UpstreamFailure for a status that no whole answer can have."""
+    if resp.status not in FINAL_STATUSES:
+        resp.close()
+        raise UpstreamFailure(
+            Result.RETRY_BROKE, f"there is no answer with status {resp.status}"
+        )
+
+
 @contextlib.contextmanager
 def translate_errors(address: str) -> Iterator[None]:
     """Translate network and HTTP errors into :class:`UpstreamFailure`."""
