Bound the token usage that engines report

What callers of the own interface would see: an answer whose usage names a prompt of "many" or of 401 digits of tokens gets 500, although it is whole; a count of 401 digits goes on into the scheduler's shares.

Cause: int() of whatever the engine sent, and whole numbers without a bound.

--- a/shallotpoint/callers/answer.py
+++ b/shallotpoint/callers/answer.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from shallotpoint.decoding import usable_number
 from shallotpoint.types import JSONObject, Seconds
 from shallotpoint.upstreams.sse import DONE, CompletionAccumulator
 
@@ -108,7 +109,7 @@
         }
         usage = accumulated.usage()
         if usage is not None:
-            prompt = int(usage.get("prompt_tokens", 0))
+            prompt = int(usable_number(usage.get("prompt_tokens")) or 0)
             counted = {"completion_tokens": self.tokens}
             answer["usage"] = {**usage, **counted, "total_tokens": prompt + self.tokens}
         return msgspec.json.encode(answer)
--- a/shallotpoint/callers/chat.py
+++ b/shallotpoint/callers/chat.py
@@ -20,6 +20,7 @@
 from shallotpoint.decoding import DECODE_ERRORS
 from shallotpoint.errors import RequestError
 from shallotpoint.hashing import hash64
+from shallotpoint.policy.prompts import MAX_TOKENS
 from shallotpoint.results import Result
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.client import (
@@ -321,7 +322,7 @@
 
 
 def count_completion_tokens(body: bytes) -> int:
-    """Return the number of generated tokens in a whole answer, at least 1.
+    """Return the number of generated tokens in a whole answer, from 1 to MAX_TOKENS.
 
     Raises
     ------
@@ -332,7 +333,8 @@
         answer = _answer_decoder.decode(body)
     except DECODE_ERRORS as exc:
         raise UpstreamFailure(Result.RETRY_BROKE, f"unreadable answer: {exc}") from exc
-    return max(1, answer.usage.completion_tokens) if answer.usage else 1
+    tokens = answer.usage.completion_tokens if answer.usage else 1
+    return max(1, min(tokens, MAX_TOKENS))
 
 
 def raise_upstream_error(status: int, body: bytes) -> None:
