Fail TLS answers that end without the closing alert

What callers saw (MIXED): on the own interface over TLS, a service answers an upload with a body that has no length and resets the connection; the caller got a part of it as the complete answer.

Cause: the event loop tells of a TLS connection that ends without the closing alert, by a reset or the end of the file, as of an orderly end; only the alert shows as eof_received, and the socket's error is gone by then.

Change: a body that ends with its connection is complete over TLS only if the alert has come, as RFC 9112 asks (9.8).

Tests: resets, ends without and with the alert.

--- a/shallotpoint/testing/scripted_upstream.py
+++ b/shallotpoint/testing/scripted_upstream.py
@@ -89,7 +89,7 @@
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
-        _reset_at_close(self.writer.get_extra_info("socket"))
+        reset_at_close(self.writer.get_extra_info("socket"))
         self.writer.transport.abort()
 
     def close(self) -> None:
@@ -107,11 +107,12 @@
 
 def reset_connection(sock: socket.socket) -> None:
     """Close a connected socket with a TCP reset."""
-    _reset_at_close(sock)
+    reset_at_close(sock)
     sock.close()
 
 
-def _reset_at_close(sock: socket.socket) -> None:
+def reset_at_close(sock: socket.socket) -> None:
+    """Let the close of a connected socket send a TCP reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
--- a/shallotpoint/tests/test_early_answers.py
+++ b/shallotpoint/tests/test_early_answers.py
@@ -3,14 +3,18 @@
 import asyncio
 import contextlib
 import socket
+import ssl
+import tempfile
 import time
+from pathlib import Path
 
 from multidict import CIMultiDict
 
 from shallotpoint.loop import run_loop
 from shallotpoint.results import Result
 from shallotpoint.testing.cases import TestCase
-from shallotpoint.testing.scripted_upstream import reset_connection
+from shallotpoint.testing.scripted_upstream import reset_at_close, reset_connection
+from shallotpoint.tests.test_daemon import write_certificate
 from shallotpoint.upstreams.bound import PerUpstreamClient
 from shallotpoint.upstreams.client import (
     Timeouts,
@@ -228,3 +232,67 @@
         # Guards against a part of an answer that counts as the whole or not by the
         # order in which a router reads the end of a connection and its reset.
         self.check_resets_behind_the_end()
+
+
+class TlsTests(TestCase):
+    """Answers without a length over TLS, on the own interface."""
+
+    run_loop = staticmethod(run_loop)
+
+    def results(self, end, *, reads_upload):
+        """Return the length of each of some answers, or the result of its failure."""
+
+        async def answer(reader, writer):
+            received = await reader.readuntil(b"\r\n\r\n")
+            if reads_upload:
+                received += await reader.readexactly(len(UPLOAD))
+            writer.write(HEADS["no length"] + PART)
+            with contextlib.suppress(OSError):
+                await writer.drain()
+            end(writer)
+
+        async def main():
+            with tempfile.TemporaryDirectory() as name:
+                folder = Path(name)
+                write_certificate(folder, 1)
+                certificate, key = folder / "cert.pem", folder / "key.pem"
+                tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+                tls.load_cert_chain(certificate, key)
+                client_tls = ssl.create_default_context(cafile=certificate)
+            server = await asyncio.start_server(answer, "127.0.0.1", 0, ssl=tls)
+            address = "{}:{}".format(*server.sockets[0].getsockname())
+            client = UpstreamClient(
+                timeouts=Timeouts(answer_s=TIME_LIMIT_S), tls=client_tls
+            )
+            request = UpstreamRequest("POST", "/", {}, UPLOAD)
+            found = []
+            for _ in range(5):
+                try:
+                    async with client.send(address, request, repeatable=False) as resp:
+                        found.append(len(await read_response_body(resp)))
+                except UpstreamFailure as exc:
+                    found.append(exc.reason)
+            await client.close()
+            server.close()
+            return found
+
+        return self.run_async(main())
+
+    def test_mixed_answer_that_is_reset_is_not_complete(self):
+        # Guards against a part of an answer that callers get as the whole: the event
+        # loop does not tell a reset from an end without the closing alert.
+        def reset_transport(writer):
+            reset_at_close(writer.get_extra_info("socket"))
+            writer.transport.abort()
+
+        for reads_upload in (False, True):
+            found = self.results(reset_transport, reads_upload=reads_upload)
+            self.assertEqual([Result.RETRY_BROKE] * 5, found)
+
+    def test_mixed_answer_that_ends_without_the_closing_alert_is_not_complete(self):
+        found = self.results(lambda w: w.transport.abort(), reads_upload=True)
+        self.assertEqual([Result.RETRY_BROKE] * 5, found)
+
+    def test_answer_that_ends_with_the_closing_alert_is_complete(self):
+        found = self.results(lambda w: w.close(), reads_upload=True)
+        self.assertEqual([len(PART)] * 5, found)
--- a/shallotpoint/upstreams/connections.py
+++ b/shallotpoint/upstreams/connections.py
@@ -62,6 +62,13 @@
         super().__init__(loop)
         self._final_head_received = False
         self._bytes_without_progress = 0
+        self._has_tls = False
+        self._end_received = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over the transport of a new connection."""
+        self._has_tls = transport.get_extra_info("sslcontext") is not None
+        super().connection_made(transport)
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the next response and reset the state of the checks."""
@@ -127,8 +134,9 @@
         bool
             Whether the connection stays open to see if a reset follows.
         """
+        self._end_received = True
         super().eof_received()
-        if self._fail_body_if_reset() or not self._is_body_open():
+        if self._has_tls or self._fail_body_if_reset() or not self._is_body_open():
             return False
         if not _has_unreceived_bytes(self.transport):
             return False
@@ -166,9 +174,15 @@
         return self._payload is not None and not self._payload.is_eof()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an incomplete body if the connection ended with an error."""
+        """Fail an incomplete body if the connection did not end in an orderly way.
+
+        A TLS connection that ends without the closing alert, of which the event loop
+        tells as the end of file, may have been cut by a reset.
+        """
         if exc is not None:
             self._fail_body(exc)
+        elif self._has_tls and not self._end_received:
+            self._fail_body(ConnectionResetError("no closing alert"))
         if self._payload is not None and self._payload.is_eof():
             self._payload = None  # complete; a parser error on later bytes is ignored
         super().connection_lost(exc)
@@ -180,11 +194,8 @@
 
 
 def _has_unreceived_bytes(transport: asyncio.Transport | None) -> bool:
-    """Return whether the other side has yet to receive bytes of a connection.
-
-    False for connections with TLS, which end as soon as one side does.
-    """
-    if transport is None or transport.get_extra_info("sslcontext") is not None:
+    """Return whether the other side has yet to receive bytes of a connection."""
+    if transport is None:
         return False
     if transport.get_write_buffer_size():
         return True
