List the hosts of the platform each by itself

What would be seen on the own interface: one odd entry in the platform's list of hosts makes the whole list unreadable, so that no change takes effect; one with a slot count of 401 digits goes into the scheduler, whose arithmetic overflows.

Cause: the list was decoded as one value, and whole numbers had no bound.

Change: each host is decoded by itself, as the entries of the routes' lists are; slots, start times and times left are 0 to 2**53.

--- a/shallotpoint/platform_api/hosts.py
+++ b/shallotpoint/platform_api/hosts.py
@@ -7,12 +7,13 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import aiohttp
 import msgspec
 
-from shallotpoint.decoding import DECODE_ERRORS
+from shallotpoint.coordination.entries import skipping_unreadable
+from shallotpoint.decoding import DECODE_ERRORS, MAX_EXACT_INT
 from shallotpoint.types import Seconds
 from shallotpoint.upstreams.client import read_bounded
 
@@ -57,15 +58,15 @@
     data_centre: str
     state: HostState = HostState.LIVE
     pool: str = ""
-    slots: int = 0
-    started_ms: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INT)] = 0
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INT)] = 0
     is_reclaimable: bool = False
-    leaves_in_s: Seconds | None = None
+    leaves_in_s: Annotated[Seconds, msgspec.Meta(ge=0, le=MAX_EXACT_INT)] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class _HostsResponse:
-    hosts: tuple[Host, ...]
+    hosts: tuple[msgspec.Raw, ...]
 
 
 class HostListError(Exception):
@@ -76,7 +77,7 @@
     """A source of the list of hosts."""
 
     async def fetch(self) -> tuple[Host, ...]:
-        """Return all listed hosts.
+        """Return all listed hosts but those whose entry cannot be read.
 
         Raises
         ------
@@ -116,8 +117,13 @@
                 raw = await read_bounded(resp, max_bytes=MAX_LIST_BYTES)
                 if resp.status != 200:
                     raise HostListError(f"request returned status {resp.status}")
-            return msgspec.json.decode(raw, type=_HostsResponse).hosts
+            entries = msgspec.json.decode(raw, type=_HostsResponse).hosts
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise HostListError(f"request failed: {exc!r}") from exc
         except DECODE_ERRORS as exc:
             raise HostListError(f"malformed: {exc}") from exc
+        hosts = []
+        for number, entry in enumerate(entries):
+            with skipping_unreadable(f"hosts/{number}"):
+                hosts.append(msgspec.json.decode(entry, type=Host))
+        return tuple(hosts)
