--- a/shallotpoint/upstreams/connections.py
+++ b/shallotpoint/upstreams/connections.py
@@ -47,15 +47,16 @@
     """A response parser that checks the server's bytes more strictly than aiohttp.
 
     A reset never counts as the end of a body, although a body with neither a
-    content length nor chunked encoding ends when its connection closes.  If the server
-    closes its side of the connection while the request is still on its way, such a body
-    is complete once the server has received the request, or if no reset follows for
-    ``END_WAIT_S``.  Otherwise it would depend on the order in which the end and the
-    reset are read whether a part of an answer counts as the whole.  Bytes
+    content length nor chunked encoding ends when its connection closes.  Bytes
     that arrive after a complete response close the connection, as they would
     otherwise be parsed as the next response.  The connection is also closed after
     more than ``MAX_HEAD_BYTES`` bytes in a row that neither complete a response
     head nor add to a body.
+
+    If the server closes its side while the request is still on its way, a body without
+    a length is complete once the server has received the request, or if no reset
+    follows for ``END_WAIT_S``.  Otherwise the order in which the end and the reset are
+    read would decide whether a part of an answer counts as the whole.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -189,7 +190,7 @@
 
     def _fail_body(self, exc: BaseException) -> None:
         payload = self._payload
-        if payload is not None and self._is_body_open():
+        if payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(f"cut: {exc!r}"))
 
 
