Tests of early answers: one contract for both clients

The same three tests stood twice, for the routes' client and for that of the own interface. They are now written once, in a class that both use, as the tests of key-value services are. Each check stays and still runs for each client.

--- a/shallotpoint/tests/test_early_answers.py
+++ b/shallotpoint/tests/test_early_answers.py
@@ -127,7 +127,9 @@
         time.sleep(block_s)  # noqa: ASYNC251
 
 
-class EarlyAnswerCase(TestCase):
+class EarlyAnswerContract:
+    """What holds for the answers that any client of upstreams gets."""
+
     run_loop = staticmethod(run_loop)  # the event loop of the daemons
 
     @contextlib.asynccontextmanager
@@ -164,7 +166,8 @@
         except UpstreamFailure as exc:
             return exc.reason
 
-    def check_resets(self):
+    def test_mixed_answer_that_is_reset_in_an_upload_is_not_complete(self):
+        # Guards against a part of an answer that callers get as the whole.
         for end in (reset, reset_later, close_unread):
             for upload_bytes in (0, len(UPLOAD) // 2):
                 self.assertEqual(
@@ -173,8 +176,9 @@
                     f"{end.__name__} after {upload_bytes} bytes",
                 )
 
-    def check_resets_behind_the_end(self):
-        """Check ends and resets that are read together, and one after the other."""
+    def test_mixed_answer_whose_end_is_followed_by_a_reset_is_not_complete(self):
+        # Guards against a part of an answer that counts as the whole or not by the
+        # order in which a router reads the end of a connection and its reset.
         for wait_s in (0.0, 0.001, 0.02, 0.1):
             for block_s in (0.0, 0.01):
                 found = self.results(end_then_reset(wait_s), block_s=block_s)
@@ -182,12 +186,12 @@
                     [Result.RETRY_BROKE] * len(HEADS), found, (wait_s, block_s)
                 )
 
-    def check_orderly_ends(self):
+    def test_answer_that_ends_with_its_connection_is_complete(self):
         for end in (end_then_read, end_without_reading):
             self.assertEqual([len(PART)] * len(HEADS), self.results(end), end)
 
 
-class OwnInterfaceTests(EarlyAnswerCase):
+class OwnInterfaceTests(EarlyAnswerContract, TestCase):
     @contextlib.asynccontextmanager
     async def sending(self, address):
         client = UpstreamClient(timeouts=Timeouts(answer_s=TIME_LIMIT_S))
@@ -198,18 +202,8 @@
         finally:
             await client.close()
 
-    def test_mixed_answer_that_is_reset_in_an_upload_is_not_complete(self):
-        # Guards against a part of an answer that callers of services get as the whole.
-        self.check_resets()
-
-    def test_answer_that_ends_with_its_connection_is_complete(self):
-        self.check_orderly_ends()
-
-    def test_mixed_answer_whose_end_is_followed_by_a_reset_is_not_complete(self):
-        self.check_resets_behind_the_end()
-
 
-class RouteTests(EarlyAnswerCase):
+class RouteTests(EarlyAnswerContract, TestCase):
     @contextlib.asynccontextmanager
     async def sending(self, address):
         client = PerUpstreamClient()
@@ -222,17 +216,6 @@
         finally:
             await client.close()
 
-    def test_mixed_answer_that_is_reset_in_an_upload_is_not_complete(self):
-        self.check_resets()
-
-    def test_answer_that_ends_with_its_connection_is_complete(self):
-        self.check_orderly_ends()
-
-    def test_mixed_answer_whose_end_is_followed_by_a_reset_is_not_complete(self):
-        # Guards against a part of an answer that counts as the whole or not by the
-        # order in which a router reads the end of a connection and its reset.
-        self.check_resets_behind_the_end()
-
 
 class TlsTests(TestCase):
     """Answers without a length over TLS, on the own interface."""
